--- /dev/null
+++ b/shallotgate/__init__.py
@@ -0,0 +1,1 @@
+"""Shallotgate: a query tier between callers and many shards."""
--- /dev/null
+++ b/shallotgate/codec/__init__.py
@@ -0,0 +1,23 @@
+"""MessagePack between instances and JSON outside, by msgspec."""
+
+from shallotgate.codec._tagged import (
+    CodecError,
+    decode_json,
+    decode_named,
+    decode_tagged,
+    dump_builtins,
+    encode_json,
+    encode_tagged,
+    load_builtins,
+)
+
+__all__ = (
+    'CodecError',
+    'decode_json',
+    'decode_named',
+    'decode_tagged',
+    'dump_builtins',
+    'encode_json',
+    'encode_tagged',
+    'load_builtins',
+)
--- /dev/null
+++ b/shallotgate/codec/_tagged.py
@@ -0,0 +1,83 @@
+"""MessagePack and JSON for the generated dataclasses."""
+
+import dataclasses
+import inspect
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+import msgspec
+
+from shallotgate.errors import ShallotgateError
+from shallotgate.generated import messages
+
+_T = TypeVar('_T')
+
+_DECODERS: Mapping[str, msgspec.msgpack.Decoder[Any]] = MappingProxyType(
+    {
+        name: msgspec.msgpack.Decoder(member)
+        for name, member in inspect.getmembers(messages, inspect.isclass)
+        if dataclasses.is_dataclass(member)
+    }
+)
+_TAGGED = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class CodecError(ShallotgateError):
+    """Bytes are not a valid message of the expected type."""
+
+
+def encode_tagged(message: object) -> bytes:
+    """Encode a message with its type name, as commands are stored.
+
+    >>> decode_tagged(encode_tagged(messages.Done(changed=True)))
+    Done(changed=True, reason='')
+    """
+    return _ENCODER.encode((type(message).__name__, message))
+
+
+def decode_tagged(encoded: bytes) -> Any:
+    """Decode a message that carries its type name."""
+    try:
+        name, raw = _TAGGED.decode(encoded)
+    except msgspec.MsgspecError as error:
+        raise CodecError(f'not a tagged message: {error}') from error
+    return decode_named(name, raw)
+
+
+def decode_named(name: str, raw: bytes | msgspec.Raw) -> Any:
+    """Decode a message whose type name is known."""
+    decoder = _DECODERS.get(name)
+    if decoder is None:
+        raise CodecError(f'unknown message type {name!r}')
+    try:
+        return decoder.decode(raw)
+    except msgspec.MsgspecError as error:
+        raise CodecError(f'invalid {name}: {error}') from error
+
+
+def encode_json(message: object) -> bytes:
+    """Encode as JSON."""
+    return msgspec.json.encode(message)
+
+
+def decode_json(encoded: bytes, expected: type[_T]) -> _T:
+    """Decode JSON as a type; raises ``CodecError``."""
+    try:
+        return msgspec.json.decode(encoded, type=expected)
+    except msgspec.MsgspecError as error:
+        raise CodecError(str(error)) from error
+
+
+def dump_builtins(message: object) -> Any:
+    """Turn a message into dicts, lists and scalars."""
+    return msgspec.to_builtins(message)
+
+
+def load_builtins(content: object, expected: type[_T]) -> _T:
+    """Turn dicts, lists and scalars into a type; raises ``CodecError``."""
+    try:
+        return msgspec.convert(content, type=expected)
+    except msgspec.MsgspecError as error:
+        raise CodecError(str(error)) from error
--- /dev/null
+++ b/shallotgate/membership/_view.py
@@ -0,0 +1,112 @@
+"""What an instance knows of the shared state."""
+
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Protocol
+
+from shallotgate.generated.catalogue import Catalogue, Service, Target
+from shallotgate.generated.messages import (
+    InstanceRecord,
+    Judgement,
+    Ownership,
+    Versions,
+)
+from shallotgate.invariants import check
+
+
+@dataclass(frozen=True)
+class TargetPlace:
+    """Where a target stands in the catalogue."""
+
+    # Name of its service.
+    service_name: str
+    service: Service
+    target: Target
+
+
+@dataclass(frozen=True)
+class View:
+    """Catalogue, ownership, quarantine and instances at one moment."""
+
+    catalogue: Catalogue
+    # By target name.
+    ownership: Mapping[str, Ownership]
+    # By digest.
+    quarantine: Mapping[str, Judgement]
+    # Live instances by id.
+    instances: Mapping[str, InstanceRecord]
+    versions: Versions
+    # Places of all targets by target name; made from the catalogue.
+    places: Mapping[str, TargetPlace] = field(default_factory=dict)
+
+    def is_taken_out(self, domain: str) -> bool:
+        """Return whether operators took a failure domain out."""
+        entry = self.catalogue.domains.get(domain)
+        return entry is not None and entry.taken_out
+
+
+def list_places(catalogue: Catalogue) -> Mapping[str, TargetPlace]:
+    """Return the place of each target of a catalogue."""
+    return MappingProxyType(
+        {
+            target.name: TargetPlace(name, service, target)
+            for name, service in catalogue.services.items()
+            for target in service.targets
+        }
+    )
+
+
+EMPTY_VIEW = View(
+    catalogue=Catalogue(version=0),
+    ownership=MappingProxyType({}),
+    quarantine=MappingProxyType({}),
+    instances=MappingProxyType({}),
+    versions=Versions(),
+)
+
+
+class TierView:
+    """Holds the present view and tells subscribers of a new one."""
+
+    def __init__(self) -> None:
+        self._view = EMPTY_VIEW
+        self._lock = threading.Lock()
+        self._subscribers: list[Callable[[View], None]] = []
+
+    def current(self) -> View:
+        """Return the present view."""
+        return self._view
+
+    def subscribe(self, callback: Callable[[View], None]) -> None:
+        """Call back with each new view, on the thread that applies it."""
+        self._subscribers.append(callback)
+
+    def replace(self, view: View) -> None:
+        """Put a new view in force; versions only go upwards."""
+        with self._lock:
+            before = self._view.versions
+            after = view.versions
+            rising = (
+                after.catalogue >= before.catalogue
+                and after.ownership >= before.ownership
+                and after.quarantine >= before.quarantine
+            )
+            if not check(
+                rising,
+                'versions-only-upwards',
+                before=before,
+                after=after,
+            ):
+                return
+            self._view = view
+        for callback in self._subscribers:
+            callback(view)
+
+
+class Lease(Protocol):
+    """The lease of this instance."""
+
+    def remaining_s(self) -> float:
+        """Return the time left in seconds; no new work at 0 or less."""
--- /dev/null
+++ b/shallotgate/transport/_mailbox.py
@@ -0,0 +1,218 @@
+"""Typed messages between processes."""
+
+import itertools
+import queue
+import threading
+import time
+from collections.abc import Callable, Mapping
+
+import pynng
+
+from shallotgate.codec import CodecError
+from shallotgate.errors import CallTimeoutError, PeerUnreachableError
+from shallotgate.logs import get_logger
+from shallotgate.transport._envelope import (
+    AgeEstimator,
+    Delivery,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
+from shallotgate.transport._sender import PeerSender
+
+_LOGGER = get_logger('transport')
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+Handler = Callable[[Delivery], None]
+
+
+class Mailbox:
+    """Sends and receives messages of one process.
+
+    A message is delivered at most once and may be lost; messages to one peer
+    arrive in order. Handlers run on the receiving thread and must be short.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        start_id: str,
+        listen_address: str,
+        routes: Mapping[str, str] | None = None,
+    ) -> None:
+        self.instance = instance
+        self.start_id = start_id
+        self._listen_address = listen_address
+        # Fixed routes go before learnt addresses.
+        self._routes = dict(routes or {})
+        self._addresses: dict[str, str] = {}
+        self._senders: dict[str, PeerSender] = {}
+        self._handlers: dict[str, Handler] = {}
+        self._pending: dict[str, queue.SimpleQueue[Delivery]] = {}
+        self._heard: dict[str, float] = {}
+        self._ages: dict[tuple[str, str], AgeEstimator] = {}
+        self._calls = itertools.count(1)
+        self._lock = threading.Lock()
+        self._socket = pynng.Pull0(
+            recv_max_size=_MAX_MESSAGE_BYTES,
+            recv_buffer_size=1024,
+        )
+        self._thread = threading.Thread(
+            target=self._receive,
+            name='mailbox',
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Listen and start to receive; subscribe before."""
+        self._socket.listen(f'tcp://{self._listen_address}')
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Send what is queued, then close."""
+        with self._lock:
+            senders = list(self._senders.values())
+            self._senders.clear()
+        for sender in senders:
+            sender.stop()
+        self._socket.close()
+        self._thread.join(timeout=2)
+
+    def learn(self, peer: str, address: str) -> None:
+        """Note the address of a peer; a changed one gets a new connection."""
+        with self._lock:
+            if self._addresses.get(peer) == address:
+                return
+            self._addresses[peer] = address
+            sender = None
+            if peer not in self._routes:
+                sender = self._senders.pop(peer, None)
+        if sender is not None:
+            threading.Thread(target=sender.stop, daemon=True).start()
+
+    def subscribe(self, message_type: type, handler: Handler) -> None:
+        """Set the handler of a message type."""
+        self._handlers[message_type.__name__] = handler
+
+    def send(self, peer: str, message: object) -> None:
+        """Send without waiting; raises ``PeerUnreachableError``."""
+        self._post(
+            peer,
+            encode_envelope(self.instance, self.start_id, message),
+        )
+
+    def call(self, peer: str, message: object, timeout_s: float) -> object:
+        """Send and wait for the reply.
+
+        Raises ``PeerUnreachableError`` if it was not sent and
+        ``CallTimeoutError`` if no reply came within ``timeout_s``.
+        """
+        call_id = f'{self.start_id}-{next(self._calls)}'
+        replies: queue.SimpleQueue[Delivery] = queue.SimpleQueue()
+        self._pending[call_id] = replies
+        try:
+            self._post(
+                peer,
+                encode_envelope(
+                    self.instance,
+                    self.start_id,
+                    message,
+                    call_id,
+                ),
+            )
+            return replies.get(timeout=max(timeout_s, 0)).message
+        except queue.Empty as error:
+            name = type(message).__name__
+            raise CallTimeoutError(
+                f'no reply to {name} from {peer} within {timeout_s:.3f} s',
+            ) from error
+        finally:
+            self._pending.pop(call_id, None)
+
+    def reply(self, delivery: Delivery, message: object) -> None:
+        """Answer a call; a reply that can't be sent is dropped."""
+        encoded = encode_envelope(
+            self.instance,
+            self.start_id,
+            message,
+            delivery.call_id,
+            is_reply=True,
+        )
+        try:
+            self._post(delivery.sender, encoded)
+        except PeerUnreachableError:
+            _LOGGER.info('Reply dropped.', extra={'peer': delivery.sender})
+
+    def last_heard(self, peer: str) -> float:
+        """Return the monotonic time of the last message from a peer."""
+        return self._heard.get(peer, float('-inf'))
+
+    def _post(self, peer: str, encoded: bytes) -> None:
+        sender = self._senders.get(peer)
+        if sender is None:
+            sender = self._open_sender(peer)
+        sender.send(encoded)
+
+    def _open_sender(self, peer: str) -> PeerSender:
+        with self._lock:
+            sender = self._senders.get(peer)
+            if sender is not None:
+                return sender
+            address = self._routes.get(peer) or self._addresses.get(peer)
+            if address is None:
+                raise PeerUnreachableError(f'no address of peer {peer}')
+            sender = PeerSender(peer, address, self.last_heard)
+            self._senders[peer] = sender
+            return sender
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                encoded = self._socket.recv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException:
+                _LOGGER.exception('Receiving failed.')
+                continue
+            try:
+                self._accept(encoded)
+            except CodecError as error:
+                _LOGGER.warning('Message dropped: %s.', error)
+            except Exception:
+                _LOGGER.exception('A message handler failed.')
+
+    def _accept(self, encoded: bytes) -> None:
+        envelope, message = decode_envelope(encoded)
+        delivery = self._make_delivery(envelope, message)
+        if envelope.is_reply:
+            replies = self._pending.get(envelope.call_id)
+            if replies is not None:
+                replies.put(delivery)
+            return
+        handler = self._handlers.get(envelope.kind)
+        if handler is None:
+            _LOGGER.warning('No handler for %s.', envelope.kind)
+            return
+        handler(delivery)
+
+    def _make_delivery(self, envelope: Envelope, message: object) -> Delivery:
+        now = time.monotonic()
+        self._heard[envelope.sender] = now
+        age_key = (envelope.sender, envelope.start_id)
+        estimator = self._ages.get(age_key)
+        if estimator is None:
+            self._forget_starts(envelope.sender)
+            estimator = AgeEstimator()
+            self._ages[age_key] = estimator
+        return Delivery(
+            sender=envelope.sender,
+            start_id=envelope.start_id,
+            call_id=envelope.call_id,
+            age_s=estimator.estimate(envelope.sent_at, now),
+            message=message,
+        )
+
+    def _forget_starts(self, sender: str) -> None:
+        stale = [key for key in self._ages if key[0] == sender]
+        for key in stale:
+            self._ages.pop(key)
