--- a/shallotgate/http/_server.py
+++ b/shallotgate/http/_server.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Any, Protocol
 from urllib.parse import parse_qs
 
@@ -14,21 +15,23 @@
 _LOGGER = get_logger('http')
 _SHUTDOWN_TIMEOUT_S = 30
 _QUEUE_SIZE = 256
-_REASONS = {
-    200: 'OK',
-    400: 'Bad Request',
-    401: 'Unauthorized',
-    403: 'Forbidden',
-    404: 'Not Found',
-    405: 'Method Not Allowed',
-    409: 'Conflict',
-    413: 'Content Too Large',
-    422: 'Unprocessable Content',
-    429: 'Too Many Requests',
-    500: 'Internal Server Error',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
+_REASONS = MappingProxyType(
+    {
+        200: 'OK',
+        400: 'Bad Request',
+        401: 'Unauthorized',
+        403: 'Forbidden',
+        404: 'Not Found',
+        405: 'Method Not Allowed',
+        409: 'Conflict',
+        413: 'Content Too Large',
+        422: 'Unprocessable Content',
+        429: 'Too Many Requests',
+        500: 'Internal Server Error',
+        503: 'Service Unavailable',
+        504: 'Gateway Timeout',
+    }
+)
 
 
 @dataclass(frozen=True)
@@ -89,7 +92,7 @@
             request_queue_size=_QUEUE_SIZE,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         )
-        self._server.error_log = self._log_error
+        self._server.error_log = self._log_error  # type: ignore[method-assign]
         self._thread = threading.Thread(
             target=self._serve,
             name=f'http-{port}',
