--- /dev/null
+++ b/testkit/bench/_run.py
@@ -0,0 +1,113 @@
+"""One run of a scenario."""
+
+import os
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from testkit.bench._actions import run_events
+from testkit.bench._deployment import GROUP, make_deployment, read_capacity
+from testkit.bench._load import LoadGenerator, Sample
+from testkit.bench._report import PhaseFigures, summarize
+from testkit.bench._scenario import Scenario
+from testkit.runner import Tier, wait_until
+
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_USER_TICKS_FIELD = 11
+_SYSTEM_TICKS_FIELD = 12
+_SNAPSHOT_LIMIT_S = 60
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class RunResult:
+    """Samples and figures of a run."""
+
+    samples: Sequence[Sample]
+    figures: Sequence[PhaseFigures]
+    # CPU time of all instances for each attempt, in milliseconds; counts
+    # queries, heartbeats and everything else that they do.
+    cpu_ms_per_attempt: float
+    breaches: Sequence[str]
+
+
+def run_scenario(
+    scenario: Scenario,
+    policy: Mapping[str, Any],
+    seed: int,
+) -> RunResult:
+    """Start a deployment, offer the load and return what was measured."""
+    deployment = make_deployment(scenario, {'policy': dict(policy)})
+    with Tier(deployment) as tier:
+        tier.start()
+        _wait_complete(tier)
+        before_s = _read_cpu_s(tier)
+        load = LoadGenerator(
+            scenario,
+            read_capacity(scenario) * scenario.load,
+            seed,
+            lambda: _list_entries(tier),
+            deployment.callers[0].key,
+        )
+        events = run_events(tier, scenario, load.read_elapsed_s)
+        samples = load.run()
+        cpu_s = _read_cpu_s(tier) - before_s
+        events.join()
+        attempts = sum(sample.attempts for sample in samples) or 1
+        return RunResult(
+            samples=samples,
+            figures=summarize(scenario, samples),
+            cpu_ms_per_attempt=round(cpu_s * _MS_PER_S / attempts, 3),
+            breaches=tier.list_breaches(),
+        )
+
+
+def make_content(
+    scenario: Scenario,
+    policy: Mapping[str, Any],
+    seed: int,
+    result: RunResult,
+) -> dict[str, object]:
+    """Return what is written to the results file."""
+    return {
+        'scenario': asdict(scenario),
+        'policy': dict(policy),
+        'seed': seed,
+        'time': time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime()),
+        'cpu_ms_per_attempt': result.cpu_ms_per_attempt,
+        'figures': [asdict(row) for row in result.figures],
+        'breaches': list(result.breaches),
+    }
+
+
+def _wait_complete(tier: Tier) -> None:
+    """Wait until every entry answers a query completely."""
+    for plan in tier.deployment.instances:
+        client = tier.clients.caller(plan.name, tier.deployment.callers[0].name)
+        request = {'group': GROUP, 'class_name': 'teller', 'query': {}}
+
+        def is_complete() -> bool:
+            answer = client.call('POST', '/v1/query', request).content
+            return bool(answer.get('outcome') == 'complete')
+
+        wait_until(is_complete, _SNAPSHOT_LIMIT_S, f'{plan.name} complete')
+
+
+def _list_entries(tier: Tier) -> list[str]:
+    return [
+        tier.layout.addresses[name].caller for name in tier.list_running()
+    ]
+
+
+def _read_cpu_s(tier: Tier) -> float:
+    total = 0.0
+    for name in tier.list_running():
+        path = Path(f'/proc/{tier.instances[name].pid}/stat')
+        fields = path.read_text().rpartition(')')[2].split()
+        ticks = int(fields[_USER_TICKS_FIELD]) + int(
+            fields[_SYSTEM_TICKS_FIELD],
+        )
+        total += ticks / _TICKS_PER_S
+    return total
