Add storage and the replicated log

Cause: the control group needs a durable log with one leader.

Conclusion: election, proposals, restart, transfer and cut-off leaders are covered by tests; disk loss, damage and randomised runs follow.

--- /dev/null
+++ b/shallotgate/consensus/_changes.py
@@ -0,0 +1,172 @@
+"""Replacement of members and transfer of leadership."""
+
+import threading
+import time
+from functools import partial
+
+from shallotgate.consensus._core import Core
+from shallotgate.consensus._group import Group, encode_group
+from shallotgate.consensus._leader import Leader
+from shallotgate.consensus._leadership import Leadership, Progress, Proposal
+from shallotgate.consensus._sending import send_or_drop
+from shallotgate.errors import (
+    ConsensusError,
+    NotLeaderError,
+)
+from shallotgate.generated.messages import TimeoutNow
+from shallotgate.logs import get_logger
+
+_LOGGER = get_logger('consensus')
+
+
+class Changes:
+    """Changes of the group, one at a time."""
+
+    def __init__(self, core: Core, leader: Leader) -> None:
+        self._core = core
+        self._leader = leader
+        self._lock = threading.Lock()
+
+    def replace_member(self, instance: str, timeout_s: float) -> None:
+        """Give the vote of an instance to its new identity.
+
+        The former identity loses its vote with a first committed record and
+        the new one gets it with a second: majorities before and after each
+        record overlap, which a single record for both would not ensure.
+        """
+        deadline = time.monotonic() + timeout_s
+        if not self._lock.acquire(timeout=max(timeout_s, 0)):
+            raise ConsensusError('another change of the group is under way')
+        try:
+            self._replace(instance, deadline)
+        finally:
+            self._lock.release()
+
+    def transfer(self, timeout_s: float) -> bool:
+        """Hand leadership to the follower that is furthest."""
+        core = self._core
+        deadline = time.monotonic() + timeout_s
+        with core.changed:
+            leadership = core.leadership
+            if leadership is None:
+                return False
+            followers = leadership.list_caught_up(
+                core.journal.group,
+                core.times.lease_s,
+            )
+            best = next(iter(followers), None)
+            if best is None:
+                return False
+            leadership.is_transferring = True
+        core.wait_until(
+            lambda: leadership.is_closed or self._holds_all(best),
+            deadline,
+        )
+        if leadership.is_closed or not self._holds_all(best):
+            leadership.is_transferring = False
+            return False
+        # From here on the lease must not be used again in this term: the
+        # follower may start its election at any later time.
+        send_or_drop(
+            core.mailbox,
+            best.instance,
+            TimeoutNow(term=leadership.term),
+        )
+        core.worker.post(lambda: self._end(leadership))
+        return core.wait_until(
+            lambda: leadership.is_closed and core.leader is not None,
+            deadline,
+        )
+
+    def _end(self, leadership: Leadership) -> None:
+        if self._core.leadership is leadership:
+            self._core.step_down()
+
+    def _replace(self, instance: str, deadline: float) -> None:
+        core = self._core
+        with core.changed:
+            leadership = self._leader.require_leadership()
+            member = core.journal.group.find(instance)
+        if member is None or instance == core.instance:
+            raise ConsensusError(f'{instance} is no other member of the group')
+        identity = self._await_caught_up(leadership, instance, deadline)
+        if member.identity == identity and member.voter:
+            return
+        if member.identity != identity:
+            self._require_live_majority(leadership, instance)
+            self._commit(leadership, instance, identity, False, deadline)
+        self._commit(leadership, instance, identity, True, deadline)
+        _LOGGER.info(
+            'Member replaced.',
+            extra={'member': instance, 'identity': identity},
+        )
+
+    def _await_caught_up(
+        self,
+        leadership: Leadership,
+        instance: str,
+        deadline: float,
+    ) -> str:
+        core = self._core
+        is_caught_up = partial(self._is_caught_up, leadership, instance)
+        if not core.wait_until(is_caught_up, deadline):
+            raise ConsensusError(f'{instance} has not caught up in time')
+        with core.changed:
+            if leadership.is_closed:
+                raise NotLeaderError(core.leader)
+            return leadership.identities[instance]
+
+    def _is_caught_up(self, leadership: Leadership, instance: str) -> bool:
+        core = self._core
+        if leadership.is_closed:
+            return True
+        identity = leadership.identities.get(instance, '')
+        progress = leadership.progress.get(identity)
+        if progress is None or not leadership.is_ready:
+            return False
+        is_live = time.monotonic() - progress.acked_at < core.times.lease_s
+        return is_live and progress.match >= core.commit
+
+    def _holds_all(self, progress: Progress) -> bool:
+        return (
+            progress.match
+            == self._core.journal.last_index
+            == (self._core.commit)
+        )
+
+    def _require_live_majority(
+        self,
+        leadership: Leadership,
+        instance: str,
+    ) -> None:
+        """Refuse a removal after which nothing could be committed."""
+        core = self._core
+        with core.changed:
+            others = Group(
+                tuple(
+                    member
+                    for member in core.journal.group.members
+                    if member.instance != instance
+                ),
+            )
+            live = leadership.list_caught_up(others, core.times.lease_s)
+            live_instances = {progress.instance for progress in live}
+        if len(live_instances) + 1 < others.quorum:
+            raise ConsensusError('too few other members answer')
+
+    def _commit(
+        self,
+        leadership: Leadership,
+        instance: str,
+        identity: str,
+        voter: bool,
+        deadline: float,
+    ) -> None:
+        with self._core.changed:
+            group = self._core.journal.group
+        changed = group.with_member(instance, identity, voter=voter)
+        self._leader.propose(
+            Proposal('members', encode_group(changed)),
+            deadline - time.monotonic(),
+            expected=leadership,
+        )
--- /dev/null
+++ b/shallotgate/consensus/_replicator.py
@@ -0,0 +1,161 @@
+"""Replication to one member."""
+
+import time
+
+from shallotgate.consensus._core import Core
+from shallotgate.consensus._group import decode_group
+from shallotgate.consensus._leadership import Leadership
+from shallotgate.errors import TransportError
+from shallotgate.generated.messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    MemberList,
+)
+from shallotgate.storage import Snapshot
+
+
+class Replicator:
+    """Brings one instance up to date during one leadership."""
+
+    def __init__(
+        self,
+        core: Core,
+        leadership: Leadership,
+        instance: str,
+    ) -> None:
+        self._core = core
+        self._leadership = leadership
+        self._instance = instance
+        self._next_index = core.journal.last_index + 1
+        self._round = 0
+
+    def run(self) -> None:
+        """Send records and heartbeats until the leadership ends."""
+        while not self._leadership.is_closed:
+            sent_at = time.monotonic()
+            request = self._make_append()
+            if request is None:
+                answered = self._send_snapshot()
+            else:
+                answered = self._send_append(request)
+            self._wait(sent_at + self._core.times.heartbeat_s, answered)
+
+    def _make_append(self) -> Append | None:
+        """Return the next message, None if a snapshot is needed."""
+        journal = self._core.journal
+        with self._core.changed:
+            prev_index = self._next_index - 1
+            prev_term = journal.term_at(prev_index)
+            if prev_term is None:
+                return None
+            records = journal.slice_bytes(
+                self._next_index,
+                self._core.times.message_bytes,
+            )
+            commit = self._core.commit
+        self._round += 1
+        return Append(
+            term=self._leadership.term,
+            identity=self._leadership.identity,
+            prev_index=prev_index,
+            prev_term=prev_term,
+            commit=commit,
+            round=self._round,
+            records=records,
+        )
+
+    def _send_append(self, request: Append) -> bool:
+        times = self._core.times
+        timeout_s = times.heartbeat_reply_s
+        if request.records:
+            timeout_s = times.records_reply_s
+        reply = self._call(request, timeout_s)
+        if reply is None:
+            return False
+        if reply.success:
+            self._next_index = reply.match_index + 1
+        else:
+            self._next_index = min(
+                reply.match_index + 1,
+                max(self._next_index - 1, 1),
+            )
+        return True
+
+    def _send_snapshot(self) -> bool:
+        with self._core.changed:
+            snapshot = self._core.journal.snapshot
+        offset = 0
+        while offset <= len(snapshot.state):
+            reply = self._call(
+                self._make_part(snapshot, offset),
+                self._core.times.part_reply_s,
+            )
+            if reply is None or not reply.success:
+                return False
+            offset += self._core.times.message_bytes
+        self._next_index = snapshot.index + 1
+        return True
+
+    def _make_part(self, snapshot: Snapshot, offset: int) -> InstallSnapshot:
+        end = offset + self._core.times.message_bytes
+        self._round += 1
+        return InstallSnapshot(
+            term=self._leadership.term,
+            identity=self._leadership.identity,
+            index=snapshot.index,
+            last_term=snapshot.term,
+            members=MemberList(
+                members=list(decode_group(snapshot.members).members),
+            ),
+            offset=offset,
+            part=snapshot.state[offset:end],
+            done=end > len(snapshot.state),
+            round=self._round,
+        )
+
+    def _call(
+        self,
+        request: Append | InstallSnapshot,
+        timeout_s: float,
+    ) -> AppendReply | None:
+        """Return the reply, None if there is none or leadership is lost."""
+        sent_at = time.monotonic()
+        try:
+            reply = self._core.mailbox.call(self._instance, request, timeout_s)
+        except TransportError:
+            return None
+        if not isinstance(reply, AppendReply):
+            return None
+        if reply.term > self._leadership.term:
+            self._core.worker.post(lambda: self._core.adopt_term(reply.term))
+            return None
+        if reply.term < self._leadership.term:
+            return None
+        match = reply.match_index if reply.success else 0
+        with self._core.changed:
+            self._leadership.note_reply(
+                self._instance,
+                reply.identity,
+                sent_at,
+                match,
+            )
+            self._core.advance_leader_commit(self._leadership)
+            self._core.changed.notify_all()
+        return reply
+
+    def _has_work(self) -> bool:
+        return (
+            self._leadership.is_closed
+            or self._core.journal.last_index >= self._next_index
+        )
+
+    def _wait(self, next_heartbeat: float, answered: bool) -> None:
+        """Wait for the next heartbeat or, if answered, for records."""
+        self._core.wait_until(
+            self._has_work if answered else self._is_closed,
+            next_heartbeat,
+        )
+
+    def _is_closed(self) -> bool:
+        return self._leadership.is_closed
--- /dev/null
+++ b/shallotgate/consensus/_times.py
@@ -0,0 +1,34 @@
+"""Times and limits of the replicated log."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ConsensusTimes:
+    """Times in seconds and limits; the defaults are the product.
+
+    The lease must be shorter than the shortest election timeout: a member
+    that heard from a leader grants no vote for ``election_min_s``.
+    """
+
+    heartbeat_s: float = 0.15
+    lease_s: float = 0.6
+    election_min_s: float = 0.8
+    election_max_s: float = 1.6
+    # Wait before another attempt after an election without a winner.
+    retry_min_s: float = 0.1
+    retry_max_s: float = 0.4
+    tick_s: float = 0.05
+    # Wait for the reply to a heartbeat, to records and to a snapshot part.
+    heartbeat_reply_s: float = 0.3
+    records_reply_s: float = 0.5
+    part_reply_s: float = 2.0
+    # Applied records between two snapshots.
+    snapshot_records: int = 1000
+    # Records kept behind a snapshot, so that a member that is slightly behind
+    # needs no snapshot.
+    kept_records: int = 200
+    # Most bytes of records in one message, and size of a snapshot part.
+    message_bytes: int = 1024 * 1024
+    # Wait between two attempts to found or join a group.
+    join_s: float = 0.5
--- /dev/null
+++ b/shallotgate/consensus/tests/cluster.py
@@ -0,0 +1,135 @@
+"""Members of a group in one process, with cuts and restarts."""
+
+import shutil
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from shallotgate.consensus import ConsensusTimes, ReplicatedLog
+from shallotgate.generated.settings import Member
+from shallotgate.timers import TimerService
+from shallotgate.transport import Mailbox
+
+
+def wait_for(condition: Callable[[], object], timeout_s: float = 10) -> object:
+    """Return the first true value; fail after the time allowed."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        assert time.monotonic() < deadline, 'the condition was not met'
+        time.sleep(0.01)
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class CutMailbox(Mailbox):
+    """Drops messages between chosen peers without an error."""
+
+    cuts: set[tuple[str, str]]
+
+    def _post(self, peer: str, encoded: bytes) -> None:
+        if (self.instance, peer) not in self.cuts:
+            super()._post(peer, encoded)
+
+
+class ListMachine:
+    """Appends each command to a list."""
+
+    def __init__(self) -> None:
+        self.items: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> object:
+        self.items.append(command)
+        return len(self.items)
+
+    def snapshot(self) -> bytes:
+        return b'\n'.join(self.items)
+
+    def restore(self, snapshot: bytes) -> None:
+        self.items = snapshot.split(b'\n') if snapshot else []
+
+
+class Node:
+    """One started member."""
+
+    def __init__(self, cluster: 'Cluster', name: str, bootstrap: bool) -> None:
+        self.name = name
+        self.machine = ListMachine()
+        self.timers = TimerService()
+        self.mailbox = CutMailbox(
+            name, f'{name}-{time.monotonic_ns()}', cluster.addresses[name]
+        )
+        self.mailbox.cuts = cluster.cuts
+        self.log = ReplicatedLog(
+            self.mailbox,
+            self.timers,
+            self.machine,
+            cluster.folder / name,
+            name,
+            [
+                Member(instance=each, address=address)
+                for each, address in cluster.addresses.items()
+            ],
+            bootstrap,
+            cluster.times,
+        )
+        self.timers.start()
+        self.mailbox.start()
+        self.log.start()
+
+    def stop(self) -> None:
+        self.mailbox.cuts = {(self.name, peer) for peer in 'abcde'}
+        self.timers.stop()
+        self.log.stop()
+        self.mailbox.stop()
+
+
+class Cluster:
+    """A group of members on loopback ports."""
+
+    def __init__(
+        self,
+        folder: Path,
+        names: str = 'abc',
+        times: ConsensusTimes | None = None,
+    ) -> None:
+        self.folder = folder
+        self.times = times or ConsensusTimes()
+        self.addresses = {name: free_address() for name in names}
+        self.cuts: set[tuple[str, str]] = set()
+        self.nodes: dict[str, Node] = {}
+
+    def start(self, *names: str, bootstrap: bool = True) -> None:
+        for name in names or self.addresses:
+            self.nodes[name] = Node(self, name, bootstrap)
+
+    def stop(self, *names: str) -> None:
+        for name in names or tuple(self.nodes):
+            self.nodes.pop(name).stop()
+
+    def wipe(self, name: str) -> None:
+        shutil.rmtree(self.folder / name)
+
+    def cut_off(self, name: str) -> None:
+        for other in self.addresses:
+            self.cuts |= {(name, other), (other, name)}
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def find_leader(self) -> Node | None:
+        nodes = list(self.nodes.values())
+        return next((node for node in nodes if node.log.is_leading()), None)
+
+    def wait_leader(self, timeout_s: float = 10) -> Node:
+        return wait_for(self.find_leader, timeout_s)
+
+    def propose(self, command: bytes, timeout_s: float = 5) -> object:
+        return self.wait_leader().log.propose(command, timeout_s)
--- /dev/null
+++ b/shallotgate/storage/_folder.py
@@ -0,0 +1,156 @@
+"""Data folder of a control member."""
+
+import fcntl
+import os
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from shallotgate.errors import DamagedFileError, StorageError
+from shallotgate.storage._files import (
+    frame,
+    replace_file,
+    sync_folder,
+    unframe,
+)
+from shallotgate.storage._records import RecordLog
+
+_IDENTITY_BYTES = 16
+_T = TypeVar('_T')
+
+
+@dataclass(frozen=True)
+class StoredVote:
+    """Term and the vote that was given in it."""
+
+    term: int
+    # Identity voted for; empty if none.
+    voted: str
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """State of the machine as of one record."""
+
+    # Last index that the state includes.
+    index: int
+    # Term of that record.
+    term: int
+    # Encoded group as of that index.
+    members: bytes
+    # Encoded state of the machine.
+    state: bytes
+
+
+class DataFolder:
+    """Files of one member: log, vote, identity and snapshot.
+
+    One process at a time may open a folder. A new folder gets a random
+    identity, so a member with a lost or replaced disk is a different member.
+    """
+
+    def __init__(self, path: Path | str) -> None:
+        self.path = Path(path)
+        self.identity = ''
+        self.log = RecordLog(self.path / 'log')
+        self._vote_path = self.path / 'vote'
+        self._identity_path = self.path / 'identity'
+        self._snapshot_path = self.path / 'snapshot'
+        self._lock = -1
+
+    def open(self) -> list[bytes]:
+        """Lock the folder and return the records of its log.
+
+        Raises ``StorageError`` if another process holds the folder and
+        ``DamagedFileError`` if a file is missing or damaged; the lock is kept
+        in the latter case.
+        """
+        if not self.path.is_dir():
+            self.path.mkdir(parents=True)
+            sync_folder(self.path.parent)
+        self._take_lock()
+        if not self._identity_path.exists():
+            self._initialise()
+        self.identity = self._read(self._identity_path, str)
+        # Read for its checksum; a lost vote must stop the member.
+        self.read_vote()
+        return self.log.load()
+
+    def close(self) -> None:
+        """Close all files and release the lock."""
+        self.log.close()
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    def read_vote(self) -> StoredVote:
+        """Return the stored term and vote."""
+        return self._read(self._vote_path, StoredVote)
+
+    def write_vote(self, vote: StoredVote) -> None:
+        """Store term and vote durably."""
+        self._write(self._vote_path, vote)
+
+    def read_snapshot(self) -> Snapshot | None:
+        """Return the snapshot, or None if none was taken."""
+        if not self._snapshot_path.exists():
+            return None
+        return self._read(self._snapshot_path, Snapshot)
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Store a snapshot durably in place of the former one."""
+        self._write(self._snapshot_path, snapshot)
+
+    def _take_lock(self) -> None:
+        descriptor = os.open(self.path / 'lock', os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(descriptor)
+            raise StorageError(
+                f'{self.path}: in use by another process',
+            ) from error
+        self._lock = descriptor
+
+    def _initialise(self) -> None:
+        """Create the files of a new member.
+
+        The identity comes last: if it exists, the other files must too.
+        """
+        if self._holds_data():
+            raise DamagedFileError(
+                str(self._identity_path),
+                0,
+                'the file is missing but the folder holds data',
+            )
+        self.log.create()
+        self.write_vote(StoredVote(0, ''))
+        self._write(self._identity_path, secrets.token_hex(_IDENTITY_BYTES))
+
+    def _holds_data(self) -> bool:
+        if self._snapshot_path.exists():
+            return True
+        if self._vote_path.exists() and self.read_vote().term:
+            return True
+        return self.log.path.exists() and bool(self.log.load())
+
+    def _read(self, path: Path, expected: type[_T]) -> _T:
+        try:
+            content = path.read_bytes()
+        except FileNotFoundError as error:
+            raise DamagedFileError(
+                str(path),
+                0,
+                'the file is missing',
+            ) from error
+        payload = unframe(str(path), content)
+        try:
+            return msgspec.msgpack.decode(payload, type=expected)
+        except msgspec.MsgspecError as error:
+            raise DamagedFileError(str(path), 0, str(error)) from error
+
+    def _write(self, path: Path, content: object) -> None:
+        replace_file(path, frame(msgspec.msgpack.encode(content)))
