--- a/shallotgate/codec/_tagged.py
+++ b/shallotgate/codec/_tagged.py
@@ -9,14 +9,16 @@
 import msgspec
 
 from shallotgate.errors import ShallotgateError
-from shallotgate.generated import messages
+from shallotgate.generated import catalogue, messages
 
 _T = TypeVar('_T')
 
 _DECODERS: Mapping[str, msgspec.msgpack.Decoder[Any]] = MappingProxyType(
     {
         name: msgspec.msgpack.Decoder(member)
-        for name, member in inspect.getmembers(messages, inspect.isclass)
+        # A Verdict of the catalogue travels as the result of a command.
+        for module in (messages, catalogue)
+        for name, member in inspect.getmembers(module, inspect.isclass)
         if dataclasses.is_dataclass(member)
     }
 )
--- /dev/null
+++ b/shallotgate/state/_changes.py
@@ -0,0 +1,246 @@
+"""Judgement of one catalogue change, without a memory of its own."""
+
+import re
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, replace
+from itertools import chain
+from typing import Any
+
+import msgspec
+
+from shallotgate.codec import CodecError, dump_builtins, load_builtins
+from shallotgate.generated import catalogue as schema
+from shallotgate.generated.catalogue import (
+    Catalogue,
+    ChangeFinding,
+    Difference,
+    Edit,
+)
+from shallotgate.state._crosschecks import CrossFault, list_cross_faults
+from shallotgate.state._schema import DEFINITIONS, list_findings
+
+_MAX_CHANGE_BYTES = 4 * 1024 * 1024
+# Depth at which decoding fails depends on the stack of the caller, so that
+# members could differ; a valid change is much less deep.
+_MAX_DEPTH = 32
+_BRACKETS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_OPENING = (b'[', b'{')
+_CLOSING = (b']', b'}')
+
+
+class ChangeError(Exception):
+    """A change is faulty; it has all findings and whether it was forbidden."""
+
+    def __init__(
+        self,
+        findings: Sequence[ChangeFinding],
+        *,
+        forbidden: bool = False,
+    ) -> None:
+        super().__init__(findings)
+        self.findings = tuple(findings)
+        self.forbidden = forbidden
+
+
+@dataclass(frozen=True)
+class Author:
+    """Who makes a change."""
+
+    operator: str
+    administrator: bool
+
+
+def _fail(path: str, reason: str) -> ChangeError:
+    return ChangeError([ChangeFinding(path=path, reason=reason)])
+
+
+def _measure_depth(encoded: bytes) -> int:
+    depth = 0
+    deepest = 0
+    for match in _BRACKETS.finditer(encoded):
+        token = match.group()
+        if token in _OPENING:
+            depth += 1
+            deepest = max(deepest, depth)
+        elif token in _CLOSING:
+            depth -= 1
+    return deepest
+
+
+def parse_change(encoded: bytes) -> Mapping[str, Any]:
+    """Decode the JSON of a change; raises ``ChangeError``."""
+    if len(encoded) > _MAX_CHANGE_BYTES:
+        raise _fail('', f'larger than {_MAX_CHANGE_BYTES} bytes')
+    if _measure_depth(encoded) > _MAX_DEPTH:
+        raise _fail('', f'nested more than {_MAX_DEPTH} deep')
+    try:
+        return msgspec.json.decode(encoded, type=dict[str, Any])
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _fail('', f'not a JSON object: {error}') from error
+
+
+def check_shape(content: Mapping[str, Any]) -> tuple[ChangeFinding, ...]:
+    """Return all findings of the schema, those of each entry included."""
+    findings = list(list_findings(content, 'Change'))
+    edits = content.get('edits')
+    if isinstance(edits, list):
+        for position, edit in enumerate(edits):
+            findings.extend(_check_spec(edit, f'edits/{position}/spec'))
+    return tuple(findings)
+
+
+def _check_spec(edit: object, path: str) -> Iterator[ChangeFinding]:
+    if not isinstance(edit, dict) or edit.get('op') != 'put':
+        return
+    kind = edit.get('kind')
+    definition = DEFINITIONS.get(kind) if isinstance(kind, str) else None
+    if definition is not None:
+        yield from list_findings(edit.get('spec', {}), definition, path)
+
+
+class Draft:
+    """A copy of the catalogue on which edits are tried in their order."""
+
+    def __init__(self, catalogue: Catalogue, author: Author) -> None:
+        self._base = catalogue
+        self._author = author
+        self._kinds: dict[str, dict[str, Any]] = {
+            kind: dict(getattr(catalogue, kind)) for kind in DEFINITIONS
+        }
+        # Position of the last edit of each entry.
+        self._positions: dict[tuple[str, str], int] = {}
+        self._findings: list[ChangeFinding] = []
+        self._forbidden = False
+
+    def edit_all(self, edits: Sequence[object]) -> None:
+        """Try the edits; those of an invalid shape are passed over."""
+        for position, content in enumerate(edits):
+            path = f'edits/{position}'
+            if any(list_findings(content, 'Edit')):
+                continue
+            edit = load_builtins(content, Edit)
+            self._check_owner(edit, path)
+            if any(_check_spec(content, path)):
+                continue
+            self._positions[edit.kind, edit.name] = position
+            if edit.op == 'put':
+                self._put(edit, path)
+            elif self._kinds[edit.kind].pop(edit.name, None) is None:
+                self._note(f'{path}/name', 'no such entry to remove')
+
+    def finish(self, former: Sequence[ChangeFinding]) -> Catalogue:
+        """Return the new catalogue; raises ``ChangeError``.
+
+        ``former`` are findings of the shape, which are listed first.
+        """
+        edited = replace(
+            self._base,
+            version=self._base.version + 1,
+            **self._kinds,
+        )
+        self._findings.extend(
+            ChangeFinding(path=self._locate(fault), reason=fault.reason)
+            for fault in list_cross_faults(edited)
+        )
+        if former or self._findings:
+            raise ChangeError(
+                (*former, *self._findings),
+                forbidden=self._forbidden,
+            )
+        return edited
+
+    def list_differences(self) -> tuple[Difference, ...]:
+        """Return what the edits changed, in the order of the edits."""
+        found = []
+        for kind, name in self._positions:
+            before = getattr(self._base, kind).get(name)
+            after = self._kinds[kind].get(name)
+            change = name_difference(before, after)
+            if change is not None:
+                found.append(Difference(kind=kind, name=name, change=change))
+        return tuple(found)
+
+    def _check_owner(self, edit: Edit, path: str) -> None:
+        if self._author.administrator:
+            return
+        present = self._kinds[edit.kind].get(edit.name)
+        operator = self._author.operator
+        if present is not None and present.owner != operator:
+            self._forbidden = True
+            self._note(path, f'the entry is owned by {present.owner!r}')
+        elif present is None and edit.op == 'put':
+            owner = edit.spec.get('owner')
+            # An owner that is no text is a finding of the shape.
+            if isinstance(owner, str) and owner != operator:
+                self._forbidden = True
+                self._note(
+                    f'{path}/spec/owner',
+                    f'a new entry must be owned by {operator!r}',
+                )
+
+    def _put(self, edit: Edit, path: str) -> None:
+        entry_type = getattr(schema, DEFINITIONS[edit.kind])
+        try:
+            entry = load_builtins(edit.spec, entry_type)
+        except CodecError as error:
+            # For instance 2.0, an integer for JSON Schema only.
+            self._note(f'{path}/spec', str(error))
+            return
+        self._kinds[edit.kind][edit.name] = entry
+
+    def _note(self, path: str, reason: str) -> None:
+        self._findings.append(ChangeFinding(path=path, reason=reason))
+
+    def _locate(self, fault: CrossFault) -> str:
+        position = self._positions.get((fault.kind, fault.name))
+        if position is not None:
+            return f'edits/{position}/spec/{fault.path}'
+        if fault.missing is not None:
+            remover = self._positions.get(fault.missing)
+            if remover is not None:
+                return f'edits/{remover}'
+        return f'{fault.kind}/{fault.name}/{fault.path}'
+
+
+def name_difference(before: object, after: object) -> Any:
+    """Return added, changed, removed, or None if nothing differs.
+
+    >>> name_difference(None, 1), name_difference(1, None)
+    ('added', 'removed')
+    """
+    if before == after:
+        return None
+    if before is None:
+        return 'added'
+    return 'removed' if after is None else 'changed'
+
+
+def merge_differences(
+    steps: Sequence[Sequence[Difference]],
+) -> tuple[Difference, ...]:
+    """Return the net differences of several changes in order."""
+    first: dict[tuple[str, str], str] = {}
+    last: dict[tuple[str, str], str] = {}
+    for difference in chain.from_iterable(steps):
+        place = (difference.kind, difference.name)
+        first.setdefault(place, difference.change)
+        last[place] = difference.change
+    merged = []
+    for place, change in last.items():
+        was_there = first[place] != 'added'
+        net = name_difference(
+            before=1 if was_there else None,
+            after=None if change == 'removed' else 2,
+        )
+        if net is not None:
+            kind, name = place
+            merged.append(Difference(kind=kind, name=name, change=net))
+    return tuple(merged)
+
+
+def digest_change(author: Author, content: Mapping[str, Any]) -> bytes:
+    """Return bytes that are equal for resends of one change only."""
+    return msgspec.json.encode(
+        dump_builtins((author.operator, content)),
+        order='sorted',
+    )
--- /dev/null
+++ b/shallotgate/state/_crosschecks.py
@@ -0,0 +1,125 @@
+"""Checks of a whole catalogue that a schema can't express."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from shallotgate.generated.catalogue import Catalogue, Target
+
+_MAX_PORT = 65535
+# Field and its text.
+_Use = tuple[str, str]
+# Service and position of the target.
+_Place = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class CrossFault:
+    """A fault of one entry, perhaps because of another one."""
+
+    # Kind and name of the faulty entry.
+    kind: str
+    name: str
+    # Path within the entry, such as targets/0/address.
+    path: str
+    reason: str
+    # Kind and name of an entry that is missing, if that is the fault.
+    missing: tuple[str, str] | None = None
+
+
+def list_cross_faults(catalogue: Catalogue) -> Iterator[CrossFault]:
+    """Yield every fault of a catalogue whose entries are valid by themselves.
+
+    The whole catalogue is checked, not only the changed entries, because a
+    removal can break entries that stay.
+    """
+    yield from _check_callers(catalogue)
+    yield from _check_classes(catalogue)
+    yield from _check_targets(catalogue)
+    yield from _check_repeated_targets(catalogue)
+
+
+def _check_callers(catalogue: Catalogue) -> Iterator[CrossFault]:
+    first_by_key: dict[str, str] = {}
+    for name, caller in catalogue.callers.items():
+        first = first_by_key.setdefault(caller.key_sha256, name)
+        if first != name:
+            reason = f'same key as caller {first!r}'
+            yield CrossFault('callers', name, 'key_sha256', reason)
+        for position, class_name in enumerate(caller.classes):
+            if class_name not in catalogue.classes:
+                yield CrossFault(
+                    'callers',
+                    name,
+                    f'classes/{position}',
+                    f'unknown class {class_name!r}',
+                    ('classes', class_name),
+                )
+
+
+def _check_classes(catalogue: Catalogue) -> Iterator[CrossFault]:
+    for name, policy in catalogue.classes.items():
+        is_late = policy.soft_limit_ms > policy.deadline_ms
+        if policy.mode == 'latency' and is_late:
+            yield CrossFault(
+                'classes',
+                name,
+                'soft_limit_ms',
+                f'{policy.soft_limit_ms} is more than the deadline of '
+                + f'{policy.deadline_ms} ms',
+            )
+
+
+def _check_targets(catalogue: Catalogue) -> Iterator[CrossFault]:
+    for name, service in catalogue.services.items():
+        for position, target in enumerate(service.targets):
+            path = f'targets/{position}'
+            if target.domain not in catalogue.domains:
+                yield CrossFault(
+                    'services',
+                    name,
+                    f'{path}/domain',
+                    f'unknown domain {target.domain!r}',
+                    ('domains', target.domain),
+                )
+            for field, reason in _check_target(target):
+                yield CrossFault('services', name, f'{path}/{field}', reason)
+
+
+def _check_target(target: Target) -> Iterator[tuple[str, str]]:
+    port = int(target.address.rpartition(':')[2])
+    if not 0 < port <= _MAX_PORT:
+        yield 'address', f'port {port} is not between 1 and {_MAX_PORT}'
+    if target.cold_slots > target.slots:
+        yield (
+            'cold_slots',
+            f'{target.cold_slots} is more than the {target.slots} slots',
+        )
+
+
+def _check_repeated_targets(catalogue: Catalogue) -> Iterator[CrossFault]:
+    # Each name and each address, with the places that have it.
+    uses: defaultdict[_Use, list[_Place]] = defaultdict(list)
+    for service_name, service in catalogue.services.items():
+        for position, target in enumerate(service.targets):
+            place = (service_name, position)
+            uses['name', target.name].append(place)
+            uses['address', target.address].append(place)
+    for (field, text), places in uses.items():
+        if len(places) > 1:
+            yield from _list_repeats(field, text, places)
+
+
+def _list_repeats(
+    field: str,
+    text: str,
+    places: list[_Place],
+) -> Iterator[CrossFault]:
+    named = ', '.join(f'services/{name}/targets/{at}' for name, at in places)
+    for service_name, position in places:
+        yield CrossFault(
+            'services',
+            service_name,
+            f'targets/{position}/{field}',
+            f'{field} {text!r} is used more than once: {named}',
+        )
