Add control service, session and command port

Instances need leases, the applied state and owners of targets from the control leader.

The session counts its lease from the send time of a heartbeat and only with the named versions in force. The link to the leader is behind the Protocol ControlLink, so that a relay can replace it.

--- a/shallotgate/membership/__init__.py
+++ b/shallotgate/membership/__init__.py
@@ -1,6 +1,14 @@
 """An instance's side of the shared state: view, lease, heartbeat, commands."""
 
-from shallotgate.membership._client import CommandPort
+from shallotgate.membership._client import (
+    CommandPort,
+    ControlClient,
+    LeaderCallError,
+    Operation,
+)
+from shallotgate.membership._lease import LeaseHolder
+from shallotgate.membership._link import ControlLink, DirectLink
+from shallotgate.membership._session import Readiness, Session
 from shallotgate.membership._view import (
     EMPTY_VIEW,
     Lease,
@@ -13,7 +21,15 @@
 __all__ = (
     'EMPTY_VIEW',
     'CommandPort',
+    'ControlClient',
+    'ControlLink',
+    'DirectLink',
+    'LeaderCallError',
     'Lease',
+    'LeaseHolder',
+    'Operation',
+    'Readiness',
+    'Session',
     'TargetPlace',
     'TierView',
     'View',
--- /dev/null
+++ b/shallotgate/membership/_applier.py
@@ -0,0 +1,60 @@
+"""Putting newer state into force."""
+
+import threading
+
+from shallotgate.generated.messages import (
+    FetchState,
+    HeartbeatReply,
+    StateUpdate,
+)
+from shallotgate.membership._link import ControlLink
+from shallotgate.membership._updates import covers, update_view
+from shallotgate.membership._view import TierView
+from shallotgate.transport import Mailbox
+
+_FETCH_S = 2.0
+
+
+class StateApplier:
+    """Fetches newer state and puts it into force."""
+
+    def __init__(
+        self,
+        link: ControlLink,
+        mailbox: Mailbox,
+        tier_view: TierView,
+    ) -> None:
+        self._link = link
+        self._mailbox = mailbox
+        self._view = tier_view
+        # Version of the leader's session table that was applied.
+        self._instances_version = 0
+        # One fetch at a time: an older update can't follow a newer one.
+        self._lock = threading.Lock()
+
+    def covers(self, reply: HeartbeatReply) -> bool:
+        """Return whether the versions that a reply names are in force."""
+        return covers(self._view.current().versions, reply.versions)
+
+    def fetch(self, peer: str, reply: HeartbeatReply) -> None:
+        """Apply what a heartbeat's reply names, if it is not in force yet."""
+        with self._lock:
+            is_known = reply.instances_version == self._instances_version
+            if is_known and self.covers(reply):
+                return
+            message = FetchState(
+                versions=self._view.current().versions,
+                instances_version=self._instances_version,
+            )
+            update = self._link.call(peer, message, _FETCH_S)
+            if isinstance(update, StateUpdate):
+                self._apply(update)
+
+    def _apply(self, update: StateUpdate) -> None:
+        for record in update.instances or ():
+            if record.instance != self._mailbox.instance:
+                self._mailbox.learn(record.instance, record.address)
+        # Subscribers of the view have acted on it when this returns, so that
+        # the lease counts only with the new versions in force.
+        self._view.replace(update_view(self._view.current(), update))
+        self._instances_version = update.instances_version
