--- /dev/null
+++ b/shallotgate/routing/_budget.py
@@ -0,0 +1,58 @@
+"""Budget for extra load as a share of attempts."""
+
+import threading
+import time
+from collections.abc import Callable
+
+_WINDOW_S = 10
+
+
+class Budget:
+    """Permits extra attempts up to a share of those of the last 10 s.
+
+    ``floor`` permits that many in 10 s whatever the share, so that a quiet
+    entry can still retry; it does not apply with a share of 0.
+
+    >>> budget = Budget(0.05)
+    >>> budget.note_attempts(20)
+    >>> budget.try_spend(), budget.try_spend()
+    (True, False)
+    """
+
+    def __init__(
+        self,
+        share: float,
+        floor: int = 0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._share = share
+        self._floor = floor if share > 0 else 0
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._attempts = [0 for _ in range(_WINDOW_S)]
+        self._spent = [0 for _ in range(_WINDOW_S)]
+        self._second = int(clock())
+
+    def note_attempts(self, number: int) -> None:
+        """Count attempts that were sent."""
+        with self._lock:
+            self._attempts[self._rotate()] += number
+
+    def try_spend(self) -> bool:
+        """Take one extra attempt; False if the budget is used up."""
+        with self._lock:
+            slot = self._rotate()
+            allowed = max(self._share * sum(self._attempts), self._floor)
+            if sum(self._spent) + 1 > allowed:
+                return False
+            self._spent[slot] += 1
+            return True
+
+    def _rotate(self) -> int:
+        second = int(self._clock())
+        for passed in range(min(second - self._second, _WINDOW_S)):
+            slot = (second - passed) % _WINDOW_S
+            self._attempts[slot] = 0
+            self._spent[slot] = 0
+        self._second = max(second, self._second)
+        return self._second % _WINDOW_S
--- /dev/null
+++ b/shallotgate/routing/_mailbox_port.py
@@ -0,0 +1,252 @@
+"""Attempts to local and remote owners."""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from shallotgate.errors import PeerUnreachableError
+from shallotgate.generated.messages import (
+    Attempt,
+    AttemptReply,
+    CancelAttempt,
+    OwnerReport,
+    TargetState,
+)
+from shallotgate.invariants import check
+from shallotgate.membership import TierView, View
+from shallotgate.metrics import Metrics
+from shallotgate.routing._index import IndexMap
+from shallotgate.routing._latency import LatencyTracker
+from shallotgate.routing._observations import Observations
+from shallotgate.routing._port import ReplySink
+from shallotgate.timers import TimerService
+from shallotgate.transport import Delivery, Mailbox
+
+_MS_PER_S = 1000
+# Owners answer an attempt whose time is over themselves; the port waits this
+# much longer so that their word, which says more, comes first.
+_GRACE_S = 0.2
+_SWEEP_S = 0.1
+# Owners report every second to those that use them.
+_SILENCE_S = 2.0
+
+
+class LocalTargets(Protocol):
+    """Targets that this instance owns."""
+
+    def submit(
+        self,
+        attempt: Attempt,
+        on_reply: Callable[[AttemptReply], None],
+    ) -> None:
+        """Run an attempt; calls back exactly once, maybe at once."""
+
+    def cancel(self, attempt_id: str) -> None:
+        """Give up an attempt."""
+
+
+@dataclass(slots=True)
+class _Pending:
+    """An attempt without a reply."""
+
+    attempt: Attempt
+    owner: str
+    # Start id that the owner had, empty if unknown.
+    owner_start: str
+    sink: ReplySink
+    # Monotonic times.
+    sent_at: float
+    expires_at: float
+    cancelled: bool = False
+
+
+class MailboxAttemptPort:
+    """Sends attempts and feeds what replies tell into routing.
+
+    Every attempt gets exactly one reply. An attempt that was handed to the
+    mailbox may have been sent, so it never ends as ``not_run`` here.
+    """
+
+    def __init__(
+        self,
+        mailbox: Mailbox,
+        local: LocalTargets,
+        view: TierView,
+        observations: Observations,
+        index_map: IndexMap,
+        latency: LatencyTracker,
+        metrics: Metrics,
+        limits: str = 'owner',
+    ) -> None:
+        self._mailbox = mailbox
+        self._local = local
+        self._view = view
+        self._observations = observations
+        self._index_map = index_map
+        self._latency = latency
+        self._metrics = metrics
+        self._is_local = limits != 'owner'
+        self._pending: dict[str, _Pending] = {}
+
+    def start(self, timers: TimerService) -> None:
+        """Subscribe to messages, views and the timer; before the mailbox."""
+        self._mailbox.subscribe(AttemptReply, self._accept_remote)
+        self._mailbox.subscribe(OwnerReport, self._accept_report)
+        self._view.subscribe(self._accept_view)
+        timers.every(_SWEEP_S, self.sweep)
+        timers.every(1, self._index_map.drop_missing)
+
+    def submit(self, owner: str, attempt: Attempt, sink: ReplySink) -> None:
+        """Hand an attempt to the owner instance of its target."""
+        now = time.monotonic()
+        is_local = self._is_local or owner == self._mailbox.instance
+        pending = _Pending(
+            attempt=attempt,
+            owner=self._mailbox.instance if is_local else owner,
+            owner_start='' if is_local else self._read_start(owner),
+            sink=sink,
+            sent_at=now,
+            expires_at=now + attempt.time_left_ms / _MS_PER_S + _GRACE_S,
+        )
+        check(
+            attempt.attempt_id not in self._pending,
+            'attempt-ids-are-unique',
+            attempt_id=attempt.attempt_id,
+        )
+        self._pending[attempt.attempt_id] = pending
+        self._observations.note_sent(attempt.target)
+        if is_local:
+            self._local.submit(attempt, self._accept_local)
+            return
+        try:
+            self._mailbox.send(owner, attempt)
+        except PeerUnreachableError:
+            self._end(attempt.attempt_id, 'not_run', 'owner_unreachable')
+
+    def cancel(self, owner: str, attempt: Attempt) -> None:
+        """Tell the owner that the attempt is no longer needed."""
+        pending = self._pending.get(attempt.attempt_id)
+        if pending is None:
+            return
+        pending.cancelled = True
+        # A cancelled attempt took at least this long. Leaving it out would
+        # lower the quantile after which attempts are hedged.
+        self._latency.record(
+            attempt.service,
+            (time.monotonic() - pending.sent_at) * _MS_PER_S,
+        )
+        if pending.owner == self._mailbox.instance:
+            self._local.cancel(attempt.attempt_id)
+            return
+        message = CancelAttempt(
+            attempt_id=attempt.attempt_id,
+            target=attempt.target,
+        )
+        try:
+            self._mailbox.send(owner, message)
+        except PeerUnreachableError:
+            # The attempt runs on and ends by itself.
+            self._metrics.count('cancels_unsent_total')
+
+    def accept_states(
+        self,
+        states: Iterable[TargetState],
+        age_s: float = 0,
+    ) -> None:
+        """Take over states, also those of the targets owned here."""
+        for state in states:
+            if not self._observations.accept_state(state, age_s):
+                continue
+            place = self._view.current().places.get(state.target)
+            if place is not None:
+                self._index_map.learn(
+                    place.service.group,
+                    state.target,
+                    state.versions,
+                )
+
+    def sweep(self) -> None:
+        """End attempts whose time is over or whose owner is silent."""
+        now = time.monotonic()
+        for attempt_id, pending in tuple(self._pending.items()):
+            if now > pending.expires_at:
+                self._end(attempt_id, 'timeout', 'no_reply')
+            elif self._is_silent(pending, now):
+                self._end(attempt_id, 'lost', 'owner_silent')
+
+    def count_pending(self) -> int:
+        """Return the number of attempts without a reply."""
+        return len(self._pending)
+
+    def _is_silent(self, pending: _Pending, now: float) -> bool:
+        if pending.owner == self._mailbox.instance:
+            return False
+        if now - pending.sent_at < _SILENCE_S:
+            return False
+        return now - self._mailbox.last_heard(pending.owner) > _SILENCE_S
+
+    def _read_start(self, owner: str) -> str:
+        record = self._view.current().instances.get(owner)
+        return record.start_id if record else ''
+
+    def _accept_view(self, view: View) -> None:
+        # An instance missing from the view is not taken for lost: a new
+        # control leader knows instances only from their next heartbeat.
+        for attempt_id, pending in tuple(self._pending.items()):
+            record = view.instances.get(pending.owner)
+            if record is None or not pending.owner_start:
+                continue
+            if record.start_id != pending.owner_start:
+                self._end(attempt_id, 'lost', 'owner_restarted')
+
+    def _accept_remote(self, delivery: Delivery) -> None:
+        reply = delivery.message
+        pending = self._pending.get(reply.attempt_id)
+        if pending is not None and pending.owner != delivery.sender:
+            self._metrics.count('replies_dropped_total', reason='sender')
+            return
+        self._accept(reply, delivery.age_s)
+
+    def _accept_local(self, reply: AttemptReply) -> None:
+        self._accept(reply, 0)
+
+    def _accept_report(self, delivery: Delivery) -> None:
+        self.accept_states(delivery.message.states, delivery.age_s)
+
+    def _accept(self, reply: AttemptReply, age_s: float) -> None:
+        if reply.state is not None:
+            self.accept_states((reply.state,), age_s)
+        # pop() is atomic, so that only one of two replies is handed on.
+        pending = self._pending.pop(reply.attempt_id, None)
+        if pending is None:
+            self._metrics.count('replies_dropped_total', reason='late')
+            return
+        self._hand_on(pending, reply)
+
+    def _end(self, attempt_id: str, status: str, reason: str) -> None:
+        pending = self._pending.pop(attempt_id, None)
+        if pending is None:
+            return
+        self._metrics.count('replies_made_total', status=status, reason=reason)
+        self._hand_on(
+            pending,
+            AttemptReply(
+                attempt_id=attempt_id,
+                status=status,  # type: ignore[arg-type]
+                reason=reason,
+            ),
+        )
+
+    def _hand_on(self, pending: _Pending, reply: AttemptReply) -> None:
+        elapsed_ms = None
+        if reply.status == 'ok':
+            elapsed_ms = (time.monotonic() - pending.sent_at) * _MS_PER_S
+            if not pending.cancelled:
+                self._latency.record(pending.attempt.service, elapsed_ms)
+        self._observations.note_reply(
+            pending.attempt.target,
+            reply.status,
+            elapsed_ms,
+        )
+        pending.sink.put(reply)
--- /dev/null
+++ b/shallotgate/routing/_observations.py
@@ -0,0 +1,183 @@
+"""What this entry knows of each target."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from shallotgate.generated.messages import AttemptReply, TargetState
+
+# Weight of a new measurement in the smoothed latency.
+_SMOOTHING = 0.2
+# A target that was avoided for this long is judged by its owner's report
+# again; otherwise one slow moment would keep it avoided.
+_OWN_LATENCY_VALID_S = 5.0
+# After a failure a target is less preferred for this long.
+_FAILURE_VALID_S = 2.0
+# Owners report every second; two missed reports make a state stale.
+STATE_FRESH_S = 3.0
+# Statuses after which the target, and not the way to it, is in doubt.
+_FAILURES = frozenset(('failed', 'lost', 'timeout'))
+# Reasons with which the port marks an owner, not a target, as lost.
+OWNER_LOST_REASONS = frozenset(('owner_silent', 'owner_restarted'))
+
+
+def is_target_lost(reply: AttemptReply) -> bool:
+    """Return whether the reply says that the target itself was lost.
+
+    >>> is_target_lost(AttemptReply(attempt_id='a', status='lost'))
+    True
+    """
+    return reply.status == 'lost' and reply.reason not in OWNER_LOST_REASONS
+
+
+@dataclass(slots=True)
+class TargetObservation:
+    """Own measurements and the owner's last report of one target."""
+
+    target: str
+    # Attempts of this entry that are not yet answered.
+    in_flight: int = 0
+    # Smoothed time from sending to reply in milliseconds; 0 if unknown.
+    latency_ms: float = 0
+    # Monotonic time of the last measurement.
+    measured_at: float = float('-inf')
+    # Failures since the last success.
+    failures: int = 0
+    # Monotonic time of the last failure.
+    failed_at: float = float('-inf')
+    # Last report of the owner.
+    state: TargetState | None = None
+    # Monotonic time at which the report was made.
+    state_at: float = float('-inf')
+    # Attempts of this entry sent since that report.
+    sent_since: int = 0
+
+    def read_load(self) -> int:
+        """Return attempts running or waiting as far as known."""
+        if self.state is None:
+            return self.in_flight
+        reported = self.state.in_flight + self.state.queued
+        return max(self.in_flight, reported + self.sent_since)
+
+    def has_room(self) -> bool:
+        """Return whether another attempt would run at once."""
+        if self.state is None:
+            return self.in_flight == 0
+        return self.read_load() < max(self.state.limit, 1)
+
+    def is_cold(self) -> bool:
+        """Return whether the owner keeps the target on its cold budget."""
+        return self.state is not None and self.state.cold
+
+    def is_barred(self) -> bool:
+        """Return whether the target takes no new work."""
+        state = self.state
+        return state is not None and (state.draining or state.lost)
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether the owner's reports stopped."""
+        return now - self.state_at > STATE_FRESH_S
+
+    def estimate_ms(self, now: float) -> float:
+        """Return the expected time of an attempt in milliseconds."""
+        state = self.state
+        own = self.latency_ms
+        is_own_valid = own and now - self.measured_at < _OWN_LATENCY_VALID_S
+        if state is None:
+            base = own
+            limit = 1
+        else:
+            base = own if is_own_valid else state.latency_ms
+            limit = max(state.limit, 1)
+        # Above 0 so that load also counts where no latency is known.
+        expected = max(base, 0.1) * (1 + self.read_load() / limit)
+        if now - self.failed_at < _FAILURE_VALID_S:
+            expected *= 1 + self.failures
+        return expected
+
+
+class Observations:
+    """Observations of all targets; safe to use from any thread."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._records: dict[str, TargetObservation] = {}
+        # Rises when a target starts or ceases to take work.
+        self.revision = 0
+
+    def __iter__(self) -> Iterator[TargetObservation]:
+        return iter(tuple(self._records.values()))
+
+    def observe(self, target: str) -> TargetObservation:
+        """Return the record of a target."""
+        record = self._records.get(target)
+        if record is None:
+            with self._lock:
+                record = self._records.setdefault(
+                    target,
+                    TargetObservation(target),
+                )
+        return record
+
+    def note_sent(self, target: str) -> None:
+        """Count an attempt that was sent."""
+        record = self.observe(target)
+        with self._lock:
+            record.in_flight += 1
+            record.sent_since += 1
+
+    def note_reply(
+        self,
+        target: str,
+        status: str,
+        elapsed_ms: float | None,
+    ) -> None:
+        """Count an answered attempt; a time only if the target ran it."""
+        record = self.observe(target)
+        now = self._clock()
+        with self._lock:
+            record.in_flight = max(record.in_flight - 1, 0)
+            if status == 'ok':
+                record.failures = 0
+            elif status in _FAILURES:
+                record.failures += 1
+                record.failed_at = now
+            if elapsed_ms is None:
+                return
+            if record.latency_ms:
+                change = elapsed_ms - record.latency_ms
+                record.latency_ms += _SMOOTHING * change
+            else:
+                record.latency_ms = elapsed_ms
+            record.measured_at = now
+
+    def accept_state(self, state: TargetState, age_s: float = 0) -> bool:
+        """Take over an owner's report; False if a newer one is known."""
+        record = self.observe(state.target)
+        made_at = self._clock() - age_s
+        with self._lock:
+            before = record.state
+            if before is not None and (
+                state.epoch < before.epoch
+                or (state.epoch == before.epoch and made_at < record.state_at)
+            ):
+                return False
+            record.state = state
+            record.state_at = made_at
+            record.sent_since = 0
+            if before is None or _read_bars(before) != _read_bars(state):
+                self.revision += 1
+        return True
+
+    def forget(self, known: frozenset[str]) -> None:
+        """Drop records of targets that the catalogue no longer names."""
+        with self._lock:
+            gone = self._records.keys() - known
+            for target in gone:
+                self._records.pop(target)
+
+
+def _read_bars(state: TargetState) -> tuple[bool, bool]:
+    return state.draining, state.lost
