Add query service: fan-out, screening, merge, once-only and admission

Cause: nothing answered queries yet. Change: checks with all findings, admission with a limit that follows the latency, binding to one index version, screening and trials, hedges and retries within budgets, true coverage, and the once-only path.

--- /dev/null
+++ b/shallotgate/query/_admission.py
@@ -0,0 +1,228 @@
+"""Admission of queries: callers' limits, queues and concurrency."""
+
+import heapq
+import itertools
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from shallotgate.errors import ShallotgateError
+from shallotgate.generated.catalogue import Caller, ClassPolicy
+from shallotgate.query._limiter import LatencyLimiter
+
+_MS_PER_S = 1000
+# Weight of a new measurement in the smoothed time of a query.
+_SMOOTHING = 0.1
+# A query is worth starting with the mean time and two deviations left.
+_DEVIATIONS = 2
+_BURST_S = 1.0
+
+
+class RefusedError(ShallotgateError):
+    """A query was not admitted; it has not run."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f'refused: {reason}')
+        self.reason = reason
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Token bucket of one caller."""
+
+    tokens: float
+    filled_at: float
+    in_flight: int = 0
+
+
+@dataclass(slots=True)
+class _ServiceTime:
+    """Smoothed time of a class's queries in seconds."""
+
+    mean_s: float = 0
+    deviation_s: float = 0
+
+    def note(self, elapsed_s: float) -> None:
+        """Add the time of one query."""
+        if not self.mean_s:
+            self.mean_s = elapsed_s
+            return
+        change = elapsed_s - self.mean_s
+        self.mean_s += _SMOOTHING * change
+        self.deviation_s += _SMOOTHING * (abs(change) - self.deviation_s)
+
+    def estimate_s(self) -> float:
+        """Return a time that most queries keep to."""
+        return self.mean_s + _DEVIATIONS * self.deviation_s
+
+
+@dataclass(order=True, slots=True)
+class _Waiter:
+    """A query in the queue, ordered by priority, then deadline."""
+
+    rank: tuple[int, float, int]
+    class_name: str = field(compare=False)
+    deadline: float = field(compare=False)
+    # Held until the query is admitted or refused.
+    gate: threading.Lock = field(compare=False)
+    # Empty while waiting, then admitted or the reason of a refusal.
+    verdict: str = field(compare=False, default='')
+
+
+class Admission:
+    """Admits queries up to a limit that follows the latency.
+
+    Queries wait in one order, classes with higher priority first, then by
+    deadline. A query whose expected wait and time do not fit its deadline is
+    refused at once: it would take the place of one that is still in time.
+    """
+
+    def __init__(
+        self,
+        limiter: LatencyLimiter | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._clock = clock
+        self._limiter = limiter or LatencyLimiter()
+        self._lock = threading.Lock()
+        self._numbers = itertools.count()
+        self._buckets: dict[str, _Bucket] = {}
+        self._times: dict[str, _ServiceTime] = {}
+        self._queue: list[_Waiter] = []
+        self._queued: Counter[str] = Counter()
+        self.in_flight = 0
+
+    def enter(
+        self,
+        caller_name: str,
+        caller: Caller,
+        class_name: str,
+        policy: ClassPolicy,
+        deadline: float,
+    ) -> None:
+        """Wait for admission; raises ``RefusedError``.
+
+        Each call that returns needs one call of ``leave``.
+        """
+        with self._lock:
+            bucket = self._take_token(caller_name, caller)
+            waiter = self._enqueue(class_name, policy, deadline)
+            bucket.in_flight += 1
+        if waiter is None:
+            return
+        try:
+            self._wait(waiter)
+        except RefusedError:
+            with self._lock:
+                bucket.in_flight -= 1
+            raise
+
+    def leave(
+        self,
+        caller_name: str,
+        class_name: str,
+        elapsed_s: float,
+        *,
+        is_counted: bool = True,
+    ) -> None:
+        """End an admitted query.
+
+        ``is_counted`` is false for one whose time says nothing of the load,
+        say a refusal.
+        """
+        with self._lock:
+            self._buckets[caller_name].in_flight -= 1
+            if is_counted:
+                times = self._times.setdefault(class_name, _ServiceTime())
+                times.note(elapsed_s)
+                self._limiter.note(
+                    class_name,
+                    elapsed_s * _MS_PER_S,
+                    self.in_flight,
+                )
+            self.in_flight -= 1
+            self._admit_waiters()
+
+    def read_limit(self) -> float:
+        """Return the present limit of queries in flight."""
+        return self._limiter.limit
+
+    def count_queued(self) -> int:
+        """Return the number of waiting queries."""
+        return self._queued.total()
+
+    def _take_token(self, caller_name: str, caller: Caller) -> _Bucket:
+        now = self._clock()
+        burst = max(caller.rate_per_s * _BURST_S, 1)
+        bucket = self._buckets.get(caller_name)
+        if bucket is None:
+            bucket = _Bucket(burst, now)
+            self._buckets[caller_name] = bucket
+        filled = bucket.tokens + (now - bucket.filled_at) * caller.rate_per_s
+        bucket.tokens = min(filled, burst)
+        bucket.filled_at = now
+        if bucket.in_flight >= caller.concurrent:
+            raise RefusedError('caller_concurrency')
+        if bucket.tokens < 1:
+            raise RefusedError('caller_rate')
+        bucket.tokens -= 1
+        return bucket
+
+    def _enqueue(
+        self,
+        class_name: str,
+        policy: ClassPolicy,
+        deadline: float,
+    ) -> _Waiter | None:
+        if self.in_flight < int(self._limiter.limit) and not self._queue:
+            self.in_flight += 1
+            return None
+        if self._queued[class_name] >= policy.queue_limit:
+            raise RefusedError('queue_full')
+        rank = (-policy.priority, deadline, next(self._numbers))
+        if self._clock() + self._estimate(class_name, rank) > deadline:
+            raise RefusedError('overload')
+        waiter = _Waiter(rank, class_name, deadline, threading.Lock())
+        waiter.gate.acquire()
+        heapq.heappush(self._queue, waiter)
+        self._queued[class_name] += 1
+        return waiter
+
+    def _estimate(self, class_name: str, rank: tuple[int, float, int]) -> float:
+        """Return the expected seconds to wait and to run."""
+        ahead = 1 + sum(1 for waiter in self._queue if waiter.rank < rank)
+        times = self._times.get(class_name)
+        if times is None:
+            return 0
+        wait_s = ahead * times.mean_s / self._limiter.limit
+        return wait_s + times.estimate_s()
+
+    def _wait(self, waiter: _Waiter) -> None:
+        timeout_s = max(waiter.deadline - self._clock(), 0)
+        if not waiter.gate.acquire(timeout=timeout_s):
+            with self._lock:
+                if not waiter.verdict:
+                    self._settle(waiter, 'queue_late')
+        if waiter.verdict != 'admitted':
+            raise RefusedError(waiter.verdict)
+
+    def _admit_waiters(self) -> None:
+        now = self._clock()
+        while self._queue and self.in_flight < int(self._limiter.limit):
+            waiter = heapq.heappop(self._queue)
+            if waiter.verdict:
+                continue
+            times = self._times.get(waiter.class_name)
+            needed_s = times.estimate_s() if times else 0
+            if now + needed_s > waiter.deadline:
+                self._settle(waiter, 'queue_late')
+            else:
+                self.in_flight += 1
+                self._settle(waiter, 'admitted')
+            waiter.gate.release()
+
+    def _settle(self, waiter: _Waiter, verdict: str) -> None:
+        waiter.verdict = verdict
+        self._queued[waiter.class_name] -= 1
--- /dev/null
+++ b/shallotgate/query/_merge.py
@@ -0,0 +1,67 @@
+"""Merge of the matches of several shards."""
+
+import itertools
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+from shallotgate.errors import ShallotgateError
+
+_DECODER = msgspec.json.Decoder(list[dict[str, Any]])
+
+Match = Mapping[str, Any]
+
+
+class BadMatchesError(ShallotgateError):
+    """A target's matches are not a JSON array of objects with an id."""
+
+
+def decode_matches(encoded: bytes | None) -> Sequence[Match]:
+    """Decode the matches of one reply; raises ``BadMatchesError``.
+
+    Each match has an ``id`` and a numeric ``score``, 0 if left out.
+    """
+    try:
+        matches = _DECODER.decode(encoded or b'[]')
+    except msgspec.MsgspecError as error:
+        raise BadMatchesError(f'matches are not valid: {error}') from error
+    if not all('id' in match for match in matches):
+        raise BadMatchesError('a match has no id')
+    if not all(isinstance(_read_score(one), int | float) for one in matches):
+        raise BadMatchesError('a score is not a number')
+    return matches
+
+
+def merge_matches(
+    lists: Sequence[Sequence[Match]],
+    limit: int,
+) -> tuple[Sequence[Match], bool]:
+    """Merge lists by match id, highest score first.
+
+    Returns the matches and whether the limit cut some off. Of two matches
+    with one id the higher score stays.
+
+    >>> low = {'id': 'a', 'score': 1}
+    >>> high = {'id': 'a', 'score': 2}
+    >>> other = {'id': 'b', 'score': 1}
+    >>> merge_matches([[low, other], [high]], limit=1)
+    ([{'id': 'a', 'score': 2}], True)
+    """
+    best: dict[str, Match] = {}
+    for match in itertools.chain.from_iterable(lists):
+        match_id = str(match['id'])
+        kept = best.get(match_id)
+        if kept is None or _read_score(kept) < _read_score(match):
+            best[match_id] = match
+    # The id breaks ties, so that the same matches give the same order.
+    ordered = sorted(
+        best.items(),
+        key=lambda pair: (-_read_score(pair[1]), pair[0]),
+    )
+    merged = [pair[1] for pair in ordered[:limit]]
+    return merged, len(ordered) > limit
+
+
+def _read_score(match: Match) -> float:
+    return match.get('score', 0)  # type: ignore[no-any-return]
--- /dev/null
+++ b/shallotgate/query/_pick.py
@@ -0,0 +1,100 @@
+"""Ways to pick the target of an attempt."""
+
+from collections.abc import Collection, Sequence
+from typing import Protocol
+
+from shallotgate.query._exchange import Exchange
+from shallotgate.query._screening import rank_targets
+from shallotgate.routing import Candidate, ReplicaChooser
+
+# Content that is not proven may reach no more targets.
+_MAX_EXPOSED = 2
+
+
+class Pick(Protocol):
+    """Picks a target among a shard's candidates."""
+
+    # Whether the content of attempts is unproven.
+    screening: bool
+    # Trial that attempts run under, or empty.
+    trial: str
+
+    def pick(
+        self,
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        *,
+        warm_only: bool,
+    ) -> Candidate | None:
+        """Return a target, None if none may get the attempt."""
+
+
+class FreePick:
+    """The chooser's word: any replica may run proven content."""
+
+    screening = False
+    trial = ''
+
+    def __init__(self, chooser: ReplicaChooser) -> None:
+        self._chooser = chooser
+
+    def pick(
+        self,
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        *,
+        warm_only: bool,
+    ) -> Candidate | None:
+        """Return the chooser's choice."""
+        return self._chooser.choose(candidates, excluded, warm_only=warm_only)
+
+
+class ScreeningPick:
+    """In the order of rendezvous hashing, at most two targets in all."""
+
+    screening = True
+    trial = ''
+
+    def __init__(self, digest: str, exchange: Exchange) -> None:
+        self._digest = digest
+        self._exchange = exchange
+
+    def pick(
+        self,
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        *,
+        warm_only: bool,
+    ) -> Candidate | None:
+        """Return the first target of the order that is not excluded."""
+        if len(self._exchange.exposed) >= _MAX_EXPOSED:
+            return None
+        allowed = {
+            one.target: one
+            for one in candidates
+            if one.target not in excluded
+            and not (warm_only and one.observation.is_cold())
+        }
+        ranked = rank_targets(self._digest, allowed)
+        return allowed[ranked[0]] if ranked else None
+
+
+class TrialPick:
+    """The one target of a granted trial."""
+
+    screening = True
+
+    def __init__(self, candidate: Candidate, trial: str) -> None:
+        self._candidate = candidate
+        self.trial = trial
+
+    def pick(
+        self,
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        *,
+        warm_only: bool,
+    ) -> Candidate | None:
+        """Return the target of the trial; a trial is never hedged."""
+        is_excluded = self._candidate.target in excluded
+        return None if warm_only or is_excluded else self._candidate
--- /dev/null
+++ b/shallotgate/query/_screening.py
@@ -0,0 +1,71 @@
+"""Digests that completed or are suspected, and trials of suspects."""
+
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from typing import Generic, TypeVar
+
+import xxhash
+
+_T = TypeVar('_T')
+_DIGEST_VALID_S = 600.0
+_DIGEST_LIMIT = 50_000
+
+
+class DigestTable(Generic[_T]):
+    """Bounded table of digests that forgets the oldest entries.
+
+    >>> table = DigestTable(limit=1)
+    >>> table.put('first', True)
+    >>> table.put('second', True)
+    >>> table.get('first'), table.get('second')
+    (None, True)
+    """
+
+    def __init__(
+        self,
+        limit: int = _DIGEST_LIMIT,
+        valid_s: float = _DIGEST_VALID_S,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._limit = limit
+        self._valid_s = valid_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._entries: OrderedDict[str, tuple[float, _T]] = OrderedDict()
+
+    def put(self, digest: str, content: _T) -> None:
+        """Set the entry of a digest."""
+        with self._lock:
+            self._entries[digest] = (self._clock(), content)
+            self._entries.move_to_end(digest)
+            while len(self._entries) > self._limit:
+                self._entries.popitem(last=False)
+
+    def get(self, digest: str) -> _T | None:
+        """Return the entry of a digest, None if absent or too old."""
+        entry = self._entries.get(digest)
+        if entry is None or self._clock() - entry[0] > self._valid_s:
+            return None
+        return entry[1]
+
+    def drop(self, digest: str) -> None:
+        """Remove the entry of a digest."""
+        with self._lock:
+            self._entries.pop(digest, None)
+
+
+def rank_targets(digest: str, targets: Iterable[str]) -> list[str]:
+    """Order targets by rendezvous hashing of a digest.
+
+    All entries get the same order, and it changes little when targets come
+    and go.
+    """
+    return sorted(
+        targets,
+        key=lambda target: xxhash.xxh3_64_intdigest(
+            f'{target}/{digest}'.encode(),
+        ),
+        reverse=True,
+    )
--- /dev/null
+++ b/shallotgate/query/_service.py
@@ -0,0 +1,283 @@
+"""Answers callers' queries, straight down on the caller's thread."""
+
+import itertools
+import threading
+import time
+
+from shallotgate.generated.answers import Answer, QueryRequest
+from shallotgate.generated.catalogue import ClassPolicy
+from shallotgate.invariants import check
+from shallotgate.query._admission import Admission, RefusedError
+from shallotgate.query._check import (
+    encode_content,
+    find_request_faults,
+    parse_cutoff,
+)
+from shallotgate.query._once import OnceRun
+from shallotgate.query._run import QueryRun
+from shallotgate.query._task import MS_PER_S, QueryParts, Task, Usage
+from shallotgate.query._trial import Screener
+
+# Taken off the deadline for the merge and the way back to the caller.
+_RESERVE_SHARE = 0.05
+_MAX_RESERVE_S = 0.005
+# Refusals that the service itself decides are not counted as latency.
+_UNMEASURED = frozenset(('refused',))
+
+
+class QueryService:
+    """Answers each query as if one store held all shards."""
+
+    def __init__(self, parts: QueryParts) -> None:
+        self._parts = parts
+        self._metrics = parts.metrics
+        self._numbers = itertools.count(1)
+        self._idle = threading.Condition()
+        self._running = 0
+        self._is_stopping = False
+        self._admission = Admission()
+        self._metrics.gauge('admission_limit', self._admission.read_limit)
+        self._metrics.gauge('admission_queued', self._admission.count_queued)
+        self._metrics.gauge('queries_in_flight', self.count_running)
+
+    def answer(self, request: QueryRequest, caller: str) -> Answer:
+        """Return the answer to a request; never raises for its sake."""
+        received_at = time.monotonic()
+        request_id = self.make_request_id()
+        findings = find_request_faults(
+            self._parts.view.current().catalogue,
+            caller,
+            request,
+        )
+        if findings:
+            answer = Answer(
+                request_id=request_id,
+                outcome='refused',
+                reason='invalid',
+                findings=findings,
+            )
+        else:
+            answer = self._answer_valid(
+                request,
+                caller,
+                request_id,
+                received_at,
+            )
+        self._count_answer(answer, request, caller, received_at)
+        return answer
+
+    def make_request_id(self) -> str:
+        """Return an id that no other request of the tier has."""
+        return f'{self._parts.start_id}-{next(self._numbers)}'
+
+    def stop_accepting(self) -> None:
+        """Refuse new queries; those that run go on."""
+        with self._idle:
+            self._is_stopping = True
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no query runs; False if the time was too short."""
+        with self._idle:
+            return self._idle.wait_for(lambda: not self._running, timeout_s)
+
+    def count_running(self) -> int:
+        """Return the number of queries that wait or run."""
+        return self._running
+
+    def _answer_valid(
+        self,
+        request: QueryRequest,
+        caller: str,
+        request_id: str,
+        received_at: float,
+    ) -> Answer:
+        catalogue = self._parts.view.current().catalogue
+        policy = catalogue.classes.get(request.class_name)
+        entry = catalogue.callers.get(caller)
+        if policy is None or entry is None:
+            # Removed since the check.
+            return Answer(
+                request_id=request_id,
+                outcome='refused',
+                reason='catalogue_changed',
+            )
+        task = _make_task(request, caller, policy, request_id, received_at)
+        with self._idle:
+            reason = self._find_refusal(task)
+            if not reason:
+                self._running += 1
+        if reason:
+            return task.make_answer('refused', reason)
+        try:
+            self._admission.enter(
+                caller,
+                entry,
+                request.class_name,
+                policy,
+                task.deadline,
+            )
+        except RefusedError as error:
+            return task.make_answer('refused', error.reason)
+        else:
+            return self._answer_admitted(task)
+        finally:
+            self._end_running()
+
+    def _end_running(self) -> None:
+        with self._idle:
+            self._running -= 1
+            if not self._running:
+                self._idle.notify_all()
+
+    def _find_refusal(self, task: Task) -> str:
+        if self._is_stopping:
+            return 'stopping'
+        if self._parts.lease.remaining_s() <= 0:
+            return 'no_lease'
+        if task.remaining_s() <= 0:
+            return 'cutoff_passed'
+        domain = self._parts.view.current().catalogue.domains.get(
+            self._parts.domain
+        )
+        if domain is not None and domain.taken_out and domain.drain_entries:
+            return 'domain_taken_out'
+        return ''
+
+    def _answer_admitted(self, task: Task) -> Answer:
+        admitted_at = time.monotonic()
+        answer = None
+        try:
+            answer = self._run(task)
+        finally:
+            is_counted = answer is not None and (
+                answer.outcome not in _UNMEASURED
+            )
+            self._admission.leave(
+                task.caller,
+                task.request.class_name,
+                time.monotonic() - admitted_at,
+                is_counted=is_counted,
+            )
+        return answer
+
+    def _run(self, task: Task) -> Answer:
+        if self._parts.lease.remaining_s() <= 0:
+            # It may have ended while the query was queued.
+            return task.make_answer('refused', 'no_lease')
+        if task.policy.once_only:
+            return self._run_once_only(task)
+        run = QueryRun(self._parts, task)
+        try:
+            return self._run_fan_out(run, Screener(self._parts, run))
+        finally:
+            self._count_usage(task, run.exchange.usage)
+
+    def _run_fan_out(self, run: QueryRun, screener: Screener) -> Answer:
+        while True:
+            if not run.bind():
+                return run.task.make_answer(
+                    run.exchange.usage.judge(),
+                    'no_target',
+                    attempts=run.exchange.usage.sent,
+                )
+            answer = screener.screen()
+            if answer is not None:
+                return answer
+            if not run.driver.restart_due:
+                run.run_all()
+            if not run.driver.restart_due:
+                return run.finish()
+            run.restart()
+
+    def _run_once_only(self, task: Task) -> Answer:
+        once = OnceRun(self._parts, task)
+        try:
+            return once.answer()
+        finally:
+            self._count_usage(task, once.exchange.usage)
+
+    def _count_usage(self, task: Task, usage: Usage) -> None:
+        class_name = task.request.class_name
+        counts = (
+            ('attempts_total', usage.sent),
+            ('hedges_total', usage.hedges),
+            ('retries_total', usage.retries),
+            ('replies_discarded_total', usage.discarded),
+            ('version_restarts_total', usage.restarts),
+            ('targets_lost_total', len(usage.lost_targets)),
+        )
+        for name, amount in counts:
+            if amount:
+                self._metrics.count(name, amount, class_name=class_name)
+
+    def _count_answer(
+        self,
+        answer: Answer,
+        request: QueryRequest,
+        caller: str,
+        received_at: float,
+    ) -> None:
+        class_name = request.class_name
+        if answer.reason == 'invalid':
+            # Names that are not in the catalogue would grow without bound.
+            caller = ''
+            class_name = ''
+        self._metrics.count(
+            'answers_total',
+            outcome=answer.outcome,
+            caller=caller,
+            class_name=class_name,
+        )
+        if answer.outcome != 'refused':
+            self._metrics.record_ms(
+                'answer_ms',
+                (time.monotonic() - received_at) * MS_PER_S,
+                caller=caller,
+                class_name=class_name,
+            )
+            return
+        self._metrics.count(
+            'refusals_total',
+            reason=answer.reason,
+            caller=caller,
+            class_name=class_name,
+        )
+        check(
+            answer.shards is None or not answer.shards.answered,
+            'refusal-only-if-not-run',
+            request_id=answer.request_id,
+        )
+
+
+def _make_task(
+    request: QueryRequest,
+    caller: str,
+    policy: ClassPolicy,
+    request_id: str,
+    received_at: float,
+) -> Task:
+    deadline_ms = request.deadline_ms or policy.deadline_ms
+    allowed_s = deadline_ms / MS_PER_S
+    if request.cutoff:
+        # Only absolute cut-offs are judged by the wall clock.
+        until_cutoff_s = parse_cutoff(request.cutoff) - time.time()
+        allowed_s = min(allowed_s, until_cutoff_s)
+    reserve_s = min(allowed_s * _RESERVE_SHARE, _MAX_RESERVE_S)
+    deadline = received_at + allowed_s - max(reserve_s, 0)
+    soft_limit = deadline
+    if policy.mode == 'latency':
+        soft_s = policy.soft_limit_ms / MS_PER_S
+        soft_limit = min(deadline, received_at + soft_s)
+    digest, body = encode_content(request)
+    return Task(
+        request_id=request_id,
+        request=request,
+        caller=caller,
+        policy=policy,
+        digest=digest,
+        body=body,
+        started_at=received_at,
+        deadline=deadline,
+        soft_limit=soft_limit,
+        deadline_ms=max(int(allowed_s * MS_PER_S), 0),
+    )
--- a/shallotgate/routing/_chooser.py
+++ b/shallotgate/routing/_chooser.py
@@ -13,6 +13,8 @@
 
 # Ageing of reports changes routes without a change of the view.
 _ROUTE_VALID_S = 1.0
+# Quarantine is in effect everywhere 5 s after a target was lost.
+_LOST_RECENTLY_S = 5.0
 # Share of choices in which a cold target with room is considered at all.
 _COLD_SHARE = 0.2
 # A near target slower than the best one by this factor is not preferred.
@@ -44,6 +46,8 @@
     shards: tuple[tuple[Candidate, ...], ...]
     # All usable targets of the group.
     members: tuple[Candidate, ...]
+    # Targets lost so recently that the request at fault may be unknown.
+    lost: tuple[str, ...] = ()
 
     @property
     def covered(self) -> int:
@@ -189,12 +193,18 @@
             for holders in choice.holders
         )
         heard_of = frozenset(self._index_map.list_targets(group))
+        oldest = now - _LOST_RECENTLY_S
         members = [one for one in usable.values() if one.target in heard_of]
         return Route(
             group=group,
             index_version=choice.index_version,
             shards=shards,
             members=_prefer_fresh(members, now),
+            lost=tuple(
+                target
+                for target in heard_of
+                if self._observations.observe(target).lost_at > oldest
+            ),
         )
 
     def _list_group(self, view: View, group: str) -> Sequence[TargetPlace]:
--- a/shallotgate/routing/_observations.py
+++ b/shallotgate/routing/_observations.py
@@ -50,6 +50,8 @@
     state: TargetState | None = None
     # Monotonic time at which the report was made.
     state_at: float = float('-inf')
+    # Monotonic time at which it was first reported as lost.
+    lost_at: float = float('-inf')
     # Attempts of this entry sent since that report.
     sent_since: int = 0
 
@@ -164,6 +166,9 @@
                 or (state.epoch == before.epoch and made_at < record.state_at)
             ):
                 return False
+            was_lost = before is not None and before.lost
+            if state.lost and not was_lost:
+                record.lost_at = made_at
             record.state = state
             record.state_at = made_at
             record.sent_since = 0
