--- a/shallotgate/http/_server.py
+++ b/shallotgate/http/_server.py
@@ -28,6 +28,7 @@
         422: 'Unprocessable Content',
         429: 'Too Many Requests',
         500: 'Internal Server Error',
+        502: 'Bad Gateway',
         503: 'Service Unavailable',
         504: 'Gateway Timeout',
     }
