--- /dev/null
+++ b/shallotgate/query/tests/tier.py
@@ -0,0 +1,388 @@
+"""A small tier for tests: targets, port and control group in one process."""
+
+import dataclasses
+import random
+import threading
+import time
+from types import MappingProxyType
+
+from shallotgate.codec import encode_json
+from shallotgate.errors import NoLeaderError
+from shallotgate.generated.answers import QueryRequest
+from shallotgate.generated.catalogue import (
+    Caller,
+    Catalogue,
+    ClassPolicy,
+    Domain,
+    Service,
+    Target,
+)
+from shallotgate.generated.messages import (
+    AttemptReply,
+    ClaimOnce,
+    Done,
+    GrantTrial,
+    Judgement,
+    OnceResult,
+    Ownership,
+    RecordOutcome,
+    ReleaseClaim,
+    TargetState,
+    TargetVersion,
+    Versions,
+)
+from shallotgate.generated.settings import Policy
+from shallotgate.membership import TierView, View, list_places
+from shallotgate.metrics import Metrics
+from shallotgate.query import QueryParts, QueryService
+from shallotgate.routing import (
+    IndexMap,
+    LatencyTracker,
+    Observations,
+    ReplicaChooser,
+)
+
+SEED = 20261204
+DOMAINS = ('x', 'y', 'z')
+CLASSES = {
+    'coverage': {'mode': 'coverage', 'deadline_ms': 2000},
+    'latency': {'mode': 'latency', 'deadline_ms': 2000, 'soft_limit_ms': 60},
+    'plain': {'mode': 'coverage', 'deadline_ms': 2000, 'screen': False},
+    'short': {'mode': 'coverage', 'deadline_ms': 120, 'screen': False},
+    'print': {'mode': 'coverage', 'deadline_ms': 2000, 'once_only': True},
+}
+KEY = '20261204T062622Z-label-0001'
+
+
+def make_catalogue(shards=3, replicas=3):
+    services = {
+        f's{number}': Service(
+            owner='o',
+            group='trace',
+            targets=[
+                Target(
+                    name=f's{number}-{DOMAINS[replica]}',
+                    address='127.0.0.1:1',
+                    domain=DOMAINS[replica],
+                    slots=3,
+                    connections=30,
+                )
+                for replica in range(replicas)
+            ],
+        )
+        for number in range(shards)
+    }
+    printers = [
+        Target(
+            name=f'p-{domain}',
+            address='127.0.0.1:1',
+            domain=domain,
+            slots=6,
+            connections=50,
+        )
+        for domain in DOMAINS
+    ]
+    services['p'] = Service(owner='o', group='print', targets=printers)
+    return Catalogue(
+        version=1,
+        callers={
+            'teller': Caller(
+                owner='o',
+                key_sha256='0' * 64,
+                classes=list(CLASSES),
+                rate_per_s=1e6,
+                concurrent=1000,
+            )
+        },
+        classes={
+            name: ClassPolicy(owner='o', **fields)
+            for name, fields in CLASSES.items()
+        },
+        services=services,
+        domains={name: Domain(owner='o', region='r') for name in DOMAINS},
+    )
+
+
+class Port:
+    """Answers attempts as told by target; the default is a full reply."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.sent = []
+        self.cancelled = []
+        self.behaviours = {}
+        # Called before the reply to any attempt.
+        self.before = lambda attempt: None
+
+    def submit(self, owner, attempt, sink):
+        with self.lock:
+            self.sent.append(attempt)
+        self.before(attempt)
+        behave = self.behaviours.get(attempt.target, reply_ok)
+        reply = behave(attempt)
+        if isinstance(reply, Delayed):
+            timer = threading.Timer(reply.after_s, sink.put, [reply.reply])
+            timer.daemon = True
+            timer.start()
+        elif reply is not None:
+            for one in reply if isinstance(reply, list) else [reply]:
+                sink.put(one)
+
+    def cancel(self, owner, attempt):
+        self.cancelled.append(attempt.attempt_id)
+
+
+@dataclasses.dataclass
+class Delayed:
+    after_s: float
+    reply: AttemptReply
+
+
+def make_matches(attempt):
+    version = attempt.index_version
+    return encode_json(
+        [
+            {
+                'id': f'{attempt.partition}-{number}',
+                'score': number,
+                'v': version,
+            }
+            for number in range(3)
+        ]
+    )
+
+
+def reply_ok(attempt, **changes):
+    fields = {
+        'attempt_id': attempt.attempt_id,
+        'status': 'ok',
+        'index_version': attempt.index_version,
+        'partition': attempt.partition,
+        'matches': make_matches(attempt),
+        **changes,
+    }
+    return AttemptReply(**fields)
+
+
+def reply_with(status, reason=''):
+    return lambda attempt: AttemptReply(
+        attempt_id=attempt.attempt_id, status=status, reason=reason
+    )
+
+
+def reply_late(after_s):
+    return lambda attempt: Delayed(after_s, reply_ok(attempt))
+
+
+def reply_never(attempt):
+    return None
+
+
+class Control:
+    """Commands of the replicated log as far as queries need them."""
+
+    def __init__(self, tier_view):
+        self.view = tier_view
+        self.claims = {}
+        self.judgements = {}
+        self.commands = []
+        self.reachable = True
+
+    def propose(self, command, timeout_s):
+        if not self.reachable:
+            raise NoLeaderError('no leader')
+        self.commands.append(command)
+        return getattr(self, f'_do_{type(command).__name__}')(command)
+
+    def suspect(self, digest, target, *, visible=True):
+        known = self.judgements.get(digest)
+        targets = [*(known.targets if known else []), target]
+        status = known.status if known else 'suspect'
+        if status == 'trial':
+            status = 'quarantined'
+        self._judge(digest, status, targets, visible)
+
+    def _judge(self, digest, status, targets, visible=True):
+        self.judgements[digest] = Judgement(
+            digest=digest, status=status, targets=targets, since=0
+        )
+        if not visible:
+            return
+        view = self.view.current()
+        versions = dataclasses.replace(
+            view.versions, quarantine=view.versions.quarantine + 1
+        )
+        self.view.replace(
+            dataclasses.replace(
+                view, quarantine=dict(self.judgements), versions=versions
+            )
+        )
+
+    def _do_GrantTrial(self, command: GrantTrial):
+        known = self.judgements.get(command.digest)
+        if known is None:
+            return Done(changed=False, reason='not_suspect')
+        if known.status != 'suspect':
+            return Done(changed=False, reason=known.status)
+        self._judge(command.digest, 'trial', known.targets)
+        return Done(changed=True)
+
+    def _do_ClaimOnce(self, command: ClaimOnce):
+        claim, answer = self.claims.setdefault(
+            command.key, (command.claim, None)
+        )
+        if answer is not None:
+            return OnceResult(status='finished', claim=claim, answer=answer)
+        status = 'claimed' if claim == command.claim else 'in_progress'
+        return OnceResult(status=status, claim=claim)
+
+    def _do_RecordOutcome(self, command: RecordOutcome):
+        self.claims[command.key] = (command.claim, command.answer)
+        return OnceResult(status='recorded')
+
+    def _do_ReleaseClaim(self, command: ReleaseClaim):
+        self.claims.pop(command.key)
+        return OnceResult(status='released')
+
+
+class FixedLease:
+    left_s = 4.0
+
+    def remaining_s(self):
+        return self.left_s
+
+
+class Tier:
+    """One catalogue, its targets and as many entries as wanted."""
+
+    def __init__(self, shards=3, replicas=3, **policy):
+        self.view = TierView()
+        self.catalogue = make_catalogue(shards, replicas)
+        self.places = list_places(self.catalogue)
+        self.port = Port()
+        self.control = Control(self.view)
+        self.policy = Policy(**policy)
+        self.lease = FixedLease()
+        self.observations = []
+        self.index_maps = []
+        self.view.replace(
+            View(
+                catalogue=self.catalogue,
+                ownership={
+                    name: Ownership(
+                        target=name,
+                        instance='e1',
+                        start_id='s',
+                        epoch=1,
+                        state='held',
+                    )
+                    for name in self.places
+                },
+                quarantine=MappingProxyType({}),
+                instances={},
+                versions=Versions(catalogue=1, ownership=1),
+                places=self.places,
+            )
+        )
+        self.entry = self.add_entry()
+
+    def add_entry(self):
+        observations = Observations()
+        index_map = IndexMap()
+        self.observations.append(observations)
+        self.index_maps.append(index_map)
+        chooser = ReplicaChooser(
+            observations,
+            index_map,
+            self.view,
+            'e1',
+            'x',
+            rng=random.Random(SEED),
+        )
+        parts = QueryParts(
+            view=self.view,
+            lease=self.lease,
+            port=self.port,
+            commands=self.control,
+            chooser=chooser,
+            latency=LatencyTracker(),
+            metrics=Metrics(),
+            policy=self.policy,
+            domain='x',
+            start_id=f'entry{len(self.observations)}',
+        )
+        self.parts = parts
+        for number in range(self._shards()):
+            for target in self.catalogue.services[f's{number}'].targets:
+                self.report(
+                    target.name,
+                    versions=[make_version(1, self._shards(), [number])],
+                )
+        for target in self.catalogue.services['p'].targets:
+            self.report(target.name)
+        return QueryService(parts)
+
+    def report(self, target, versions=None, **changes):
+        """Let an owner report a target to all entries."""
+        for observations, index_map in zip(
+            self.observations, self.index_maps, strict=True
+        ):
+            known = observations.observe(target).state
+            state = known or make_state(target)
+            if versions is not None:
+                changes['versions'] = versions
+            state = dataclasses.replace(state, **changes)
+            observations.accept_state(state)
+            group = self.places[target].service.group
+            index_map.learn(group, target, state.versions)
+
+    def report_all(self, versions_of):
+        """Report the versions of each target of the group ``trace``."""
+        for name, place in self.places.items():
+            if place.service.group == 'trace':
+                self.report(name, versions=versions_of(int(name[1])))
+
+    def ask(self, entry=None, **fields):
+        request = {
+            'group': 'trace',
+            'class_name': 'plain',
+            'query': {'seed': SEED},
+            **fields,
+        }
+        return (entry or self.entry).answer(QueryRequest(**request), 'teller')
+
+    def count(self, name, **labels):
+        return self.parts.metrics.read_counter(name, **labels)
+
+    def _shards(self):
+        return len(self.catalogue.services) - 1
+
+
+def make_version(index_version, partitions, held):
+    return TargetVersion(
+        index_version=index_version, partitions=partitions, held=held
+    )
+
+
+def make_state(target, **changes):
+    fields = {
+        'target': target,
+        'epoch': 1,
+        'limit': 3,
+        'in_flight': 0,
+        'queued': 0,
+        'queue_ms': 0,
+        'latency_ms': 5,
+        'cold': False,
+        'draining': False,
+        'lost': False,
+        **changes,
+    }
+    return TargetState(**fields)
+
+
+def wait_until(condition, timeout_s=10):
+    give_up_at = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < give_up_at, 'condition not met in time'
+        time.sleep(0.002)
