--- /dev/null
+++ b/shallotgate/query/tests/test_screening.py
@@ -0,0 +1,177 @@
+import dataclasses
+import threading
+
+import pytest
+
+from shallotgate.query.tests.tier import (
+    Delayed,
+    Tier,
+    make_state,
+    reply_late,
+    reply_ok,
+    reply_with,
+    wait_until,
+)
+
+DEADLY = {'query': {'deadly': True}, 'class_name': 'coverage'}
+
+
+def make_deadly(tier, *, visible=True, told=True):
+    """Let each target crash on each attempt.
+
+    ``visible`` puts the suspicion into the view and ``told`` the loss into
+    the reports, both at once; replies of the owner always tell the loss.
+    """
+    lost = []
+
+    def crash(attempt):
+        state = make_state(attempt.target, lost=True)
+        if attempt.target in lost:
+            reply = reply_with('not_run', 'connect')(attempt)
+            return dataclasses.replace(reply, state=state)
+        lost.append(attempt.target)
+        tier.control.suspect(attempt.digest, attempt.target, visible=visible)
+        if told:
+            tier.report(attempt.target, lost=True)
+        reply = reply_with('lost', 'reset')(attempt)
+        return dataclasses.replace(reply, state=state)
+
+    tier.port.behaviours = {name: crash for name in tier.places}
+    return lost
+
+
+def test_new_content_goes_to_one_target_first():
+    """Guards against new content that reaches all shards unproven."""
+    tier = Tier()
+    answer = tier.ask(class_name='coverage')
+    assert answer.outcome == 'complete'
+    assert [one.screening for one in tier.port.sent] == [True, False, False]
+    tier.ask(class_name='coverage')
+    assert not any(one.screening for one in tier.port.sent[3:])
+
+
+def test_rest_of_the_fan_out_waits_for_the_screening():
+    """Guards against a fan-out that overtakes the screening."""
+    tier = Tier()
+    tier.port.behaviours = {name: reply_late(0.05) for name in tier.places}
+    asking = threading.Thread(target=tier.ask, kwargs=DEADLY)
+    asking.start()
+    wait_until(lambda: tier.port.sent)
+    assert len(tier.port.sent) == 1
+    asking.join()
+    assert len(tier.port.sent) == 3
+
+
+def test_each_entry_screens_on_the_same_target():
+    """Guards against content that is unproven on several targets at once."""
+    tier = Tier()
+    other = tier.add_entry()
+    for number in range(10):
+        query = {'number': number}
+        tier.ask(class_name='coverage', query=query)
+        tier.ask(other, class_name='coverage', query=query)
+    screened = [one.target for one in tier.port.sent if one.screening]
+    assert screened[::2] == screened[1::2]
+    assert len(set(screened)) > 2
+
+
+@pytest.mark.parametrize('told', [True, False])
+@pytest.mark.parametrize('visible', [True, False])
+@pytest.mark.parametrize('entries', [1, 4])
+def test_content_that_crashes_costs_at_most_two_targets(entries, visible, told):
+    """Guards against a resent request that takes down one target after
+    the other, also while the loss and the suspicion spread."""
+    tier = Tier()
+    services = [tier.entry, *(tier.add_entry() for _ in range(entries - 1))]
+    lost = make_deadly(tier, visible=visible, told=told)
+    outcomes = [
+        tier.ask(service, **DEADLY) for _ in range(3) for service in services
+    ]
+    assert len(lost) <= 2
+    assert outcomes[0].outcome == 'failed'
+    assert {one.outcome for one in outcomes} <= {'failed', 'refused'}
+    # Other content is not affected once the targets are back.
+    tier.port.behaviours.clear()
+    for target in lost:
+        tier.report(target, lost=False)
+    assert tier.ask(class_name='coverage').outcome == 'complete'
+
+
+def test_hedged_screening_reaches_at_most_two_targets():
+    """Guards against a screening that spreads by hedges and retries."""
+    tier = Tier()
+    for service in ('s0', 's1', 's2'):
+        for _ in range(50):
+            tier.parts.latency.record(service, 5)
+    tier.parts.hedges.note_attempts(10_000)
+    lost = make_deadly(tier)
+    crash = tier.port.behaviours['s0-x']
+    tier.port.behaviours = {
+        name: lambda attempt: Delayed(0.1, crash(attempt))
+        for name in tier.places
+    }
+    answer = tier.ask(**DEADLY)
+    assert (answer.outcome, answer.reason) == ('failed', 'quarantined')
+    assert len(lost) == 2
+    assert len(tier.port.sent) == 2
+
+
+def test_innocent_suspect_is_cleared_by_its_trial():
+    """Guards against content that stays barred after a chance loss."""
+    tier = Tier()
+    crashed = []
+
+    def crash_first(attempt):
+        if crashed:
+            return reply_ok(attempt)
+        crashed.append(attempt.target)
+        tier.control.suspect(attempt.digest, attempt.target)
+        tier.report(attempt.target, lost=True)
+        return reply_with('lost', 'reset')(attempt)
+
+    tier.port.behaviours = {name: crash_first for name in tier.places}
+    answer = tier.ask(class_name='coverage')
+    assert answer.outcome == 'complete'
+    trials = [one for one in tier.port.sent if one.trial]
+    assert len(trials) == 1
+    assert trials[0].target not in crashed
+
+
+def test_lost_owner_is_not_taken_for_a_lost_target():
+    """Guards against quarantine of content because an entry crashed."""
+    tier = Tier()
+    failed = []
+
+    def lose_owner(attempt):
+        if failed:
+            return reply_ok(attempt)
+        failed.append(attempt.target)
+        return reply_with('lost', 'owner_silent')(attempt)
+
+    tier.port.behaviours = {name: lose_owner for name in tier.places}
+    assert tier.ask(class_name='coverage').outcome == 'complete'
+    assert not tier.control.commands
+
+
+def test_faulty_first_target_does_not_fail_the_content():
+    """Guards against content whose first target always answers an error."""
+    tier = Tier()
+    tier.ask(class_name='coverage')
+    first = tier.port.sent[0].target
+    tier.port.behaviours[first] = reply_with('failed', 'broken')
+    other = tier.add_entry()
+    answer = tier.ask(other, class_name='coverage')
+    assert answer.outcome == 'complete'
+
+
+def test_no_trial_without_the_control_group():
+    """Guards against a rerun of a suspect that nobody permitted."""
+    tier = Tier()
+    lost = make_deadly(tier)
+    tier.control.reachable = False
+    answer = tier.ask(**DEADLY)
+    assert (answer.outcome, answer.reason) == ('failed', 'suspect')
+    assert len(lost) == 1
+    again = tier.ask(**DEADLY)
+    assert again.outcome == 'refused'
+    assert len(lost) == 1
--- a/shallotgate/query/tests/tier.py
+++ b/shallotgate/query/tests/tier.py
@@ -132,6 +132,31 @@
         self.cancelled.append(attempt.attempt_id)
 
 
+@dataclasses.dataclass
+class FedPort:
+    """One entry's way to the port; takes over the states of replies."""
+
+    port: Port
+    observations: Observations
+
+    def submit(self, owner, attempt, sink):
+        self.port.submit(owner, attempt, FedSink(sink, self.observations))
+
+    def cancel(self, owner, attempt):
+        self.port.cancel(owner, attempt)
+
+
+@dataclasses.dataclass
+class FedSink:
+    sink: object
+    observations: Observations
+
+    def put(self, reply):
+        if reply.state is not None:
+            self.observations.accept_state(reply.state)
+        self.sink.put(reply)
+
+
 @dataclasses.dataclass
 class Delayed:
     after_s: float
@@ -302,7 +327,7 @@
         parts = QueryParts(
             view=self.view,
             lease=self.lease,
-            port=self.port,
+            port=FedPort(self.port, observations),
             commands=self.control,
             chooser=chooser,
             latency=LatencyTracker(),
