Add settings and operator keys

Cause: the daemon and the command line need checked settings, and a file with several faults must not be corrected one start at a time. Change: load_settings and load_operator_keys read YAML with the line of each value, check it against the schema and across values, and raise all findings as file:line: path: reason. Reasons never quote values, which may be tokens. Paths in a settings file are relative to its folder.

--- /dev/null
+++ b/shallotgate/settings/__init__.py
@@ -0,0 +1,25 @@
+"""Settings and operator keys, checked with all findings reported together."""
+
+from shallotgate.settings._document import (
+    Document,
+    DocumentPath,
+    check_schema,
+    read_document,
+)
+from shallotgate.settings._keys import (
+    OperatorKey,
+    find_operator,
+    load_operator_keys,
+)
+from shallotgate.settings._load import load_settings
+
+__all__ = (
+    'Document',
+    'DocumentPath',
+    'OperatorKey',
+    'check_schema',
+    'find_operator',
+    'load_operator_keys',
+    'load_settings',
+    'read_document',
+)
--- /dev/null
+++ b/shallotgate/settings/_document.py
@@ -0,0 +1,196 @@
+"""YAML documents whose values know their line."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+from jsonschema import Draft202012Validator, ValidationError
+from ruamel.yaml import YAML
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+from ruamel.yaml.nodes import MappingNode, Node, ScalarNode, SequenceNode
+
+from shallotgate.errors import Finding
+
+DocumentPath = tuple[str | int, ...]
+
+_EMPTY: Mapping[DocumentPath, int] = MappingProxyType({})
+_ROOT: DocumentPath = ()
+_STRING_TAG = 'tag:yaml.org,2002:str'
+_MERGE_TAG = 'tag:yaml.org,2002:merge'
+# Reasons never quote the value: it may be a token.
+_REASONS: Mapping[str, str] = MappingProxyType(
+    {
+        'type': 'must be of type {}',
+        'enum': 'must be one of {}',
+        'pattern': 'must match {}',
+        'minLength': 'must have at least {} characters',
+        'maxLength': 'must have at most {} characters',
+        'minimum': 'must be at least {}',
+        'maximum': 'must be at most {}',
+        'exclusiveMinimum': 'must be more than {}',
+        'exclusiveMaximum': 'must be less than {}',
+        'minItems': 'must have at least {} items',
+        'maxItems': 'must have at most {} items',
+        'uniqueItems': 'must not repeat an item',
+    }
+)
+
+
+@dataclass(frozen=True)
+class Document:
+    """Content of a YAML file with the line of each value."""
+
+    # Name of the file.
+    name: str
+    # Dicts, lists and scalars; None if the file could not be read.
+    content: Any = None
+    # Line of each key or item by its path, from 1.
+    lines: Mapping[DocumentPath, int] = field(default_factory=lambda: _EMPTY)
+    # Faults of the YAML itself.
+    findings: tuple[Finding, ...] = ()
+
+    def make_finding(self, path: DocumentPath, reason: str) -> Finding:
+        """Return a finding at the line of a path or of its nearest parent.
+
+        >>> document = Document('a.yaml', lines={('roles',): 3})
+        >>> str(document.make_finding(('roles', 0), 'is unknown'))
+        'a.yaml:3: roles/0: is unknown'
+        """
+        known = path
+        while known and known not in self.lines:
+            known = known[:-1]
+        line = self.lines.get(known, 1)
+        text = '/'.join(str(step) for step in path) or 'file'
+        return Finding(f'{self.name}:{line}', text, reason)
+
+
+def read_document(path: Path | str) -> Document:
+    """Read a YAML file; all faults of the YAML are in ``findings``."""
+    name = str(path)
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        reason = f'cannot be read: {error.strerror}'
+        return _make_unreadable(name, 1, reason)
+    except UnicodeDecodeError:
+        return _make_unreadable(name, 1, 'is not UTF-8 text')
+    try:
+        return _parse(name, text)
+    except MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        line = 1 if mark is None else mark.line + 1
+        return _make_unreadable(name, line, f'bad YAML: {error.problem}')
+    except (YAMLError, ValueError) as error:
+        return _make_unreadable(name, 1, f'bad YAML: {error}')
+
+
+def check_schema(
+    document: Document, schema: Mapping[str, Any]
+) -> tuple[Finding, ...]:
+    """Return the findings of a JSON Schema, ordered by line."""
+    errors = Draft202012Validator(dict(schema)).iter_errors(document.content)
+    # An error for a missing key is repeated for each other missing key.
+    findings = dict.fromkeys(
+        finding for error in errors for finding in _explain(document, error)
+    )
+    return tuple(sort_findings(findings))
+
+
+def sort_findings(findings: Iterable[Finding]) -> list[Finding]:
+    """Order findings by file and line."""
+    return sorted(findings, key=_split_place)
+
+
+def _split_place(finding: Finding) -> tuple[str, int, str]:
+    name, _, line = finding.place.rpartition(':')
+    return name, int(line), finding.path
+
+
+def _make_unreadable(name: str, line: int, reason: str) -> Document:
+    return Document(name, findings=(Finding(f'{name}:{line}', 'file', reason),))
+
+
+def _parse(name: str, text: str) -> Document:
+    node = YAML(typ='safe', pure=True).compose(text)
+    loader = YAML(typ='safe', pure=True)
+    # The walk over the nodes reports each duplicate key with its line; the
+    # loader would stop at the first one.
+    loader.allow_duplicate_keys = True
+    walk = _NodeWalk()
+    if node is not None:
+        walk.visit(node, _ROOT)
+    document = Document(name, lines=walk.lines)
+    findings = [document.make_finding(path, why) for path, why in walk.faults]
+    findings.extend(
+        Finding(f'{name}:{line}', '/'.join(map(str, path)), why)
+        for path, line, why in walk.duplicates
+    )
+    if walk.faults:
+        return Document(name, None, walk.lines, tuple(findings))
+    return Document(name, loader.load(text), walk.lines, tuple(findings))
+
+
+class _NodeWalk:
+    """Collects lines and faults of the node tree."""
+
+    def __init__(self) -> None:
+        self.lines: dict[DocumentPath, int] = {_ROOT: 1}
+        # Faults after which the content can't be checked any further.
+        self.faults: list[tuple[DocumentPath, str]] = []
+        self.duplicates: list[tuple[DocumentPath, int, str]] = []
+        self._parents: list[Node] = []
+
+    def visit(self, node: Node, path: DocumentPath) -> None:
+        """Note the lines of a node's children."""
+        if any(parent is node for parent in self._parents):
+            self.faults.append((path, 'refers to itself'))
+            return
+        self._parents.append(node)
+        if isinstance(node, MappingNode):
+            self._visit_mapping(node, path)
+        elif isinstance(node, SequenceNode):
+            for index, child in enumerate(node.value):
+                self.lines[*path, index] = child.start_mark.line + 1
+                self.visit(child, (*path, index))
+        self._parents.pop()
+
+    def _visit_mapping(self, node: MappingNode, path: DocumentPath) -> None:
+        seen: dict[str, int] = {}
+        for key, child in node.value:
+            line = key.start_mark.line + 1
+            if not isinstance(key, ScalarNode) or not _is_text(key):
+                self.lines.setdefault((*path, str(key.value)), line)
+                self.faults.append(
+                    ((*path, str(key.value)), 'a key must be a string'),
+                )
+                continue
+            step = (*path, key.value)
+            first = seen.setdefault(key.value, line)
+            if first != line or step in self.lines:
+                reason = f'duplicate key; first on line {first}'
+                self.duplicates.append((step, line, reason))
+                continue
+            self.lines[step] = line
+            self.visit(child, step)
+
+
+def _is_text(key: ScalarNode) -> bool:
+    return str(key.tag) in {_STRING_TAG, _MERGE_TAG}
+
+
+def _explain(document: Document, error: ValidationError) -> Iterator[Finding]:
+    path: DocumentPath = tuple(error.absolute_path)
+    content: Any = error.instance
+    demanded: Any = error.validator_value
+    if error.validator == 'required':
+        for missing in sorted(set(demanded) - set(content)):
+            yield document.make_finding((*path, missing), 'is missing')
+    elif error.validator == 'additionalProperties':
+        schema: Any = error.schema
+        for extra in sorted(set(content) - set(schema.get('properties', ()))):
+            yield document.make_finding((*path, extra), 'is unknown')
+    else:
+        known = _REASONS.get(str(error.validator), f'{error.validator}: {{}}')
+        yield document.make_finding(path, known.format(demanded))
--- /dev/null
+++ b/shallotgate/settings/_load.py
@@ -0,0 +1,67 @@
+"""Loading of settings files."""
+
+import dataclasses
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+from ruamel.yaml import YAML
+
+from shallotgate.codec import load_builtins
+from shallotgate.errors import Finding, SettingsError
+from shallotgate.generated.settings import Policy, Settings
+from shallotgate.settings._cross import cross_check
+from shallotgate.settings._document import (
+    check_schema,
+    read_document,
+    sort_findings,
+)
+from shallotgate.settings._keys import check_operator_keys
+
+_SCHEMA_FILE = 'settings.yaml'
+
+
+def load_settings(path: Path | str) -> Settings:
+    """Read and check a settings file.
+
+    ``data_folder`` and ``operator_keys`` are relative to the folder of the
+    settings file and returned as absolute paths; an absent ``policy`` becomes
+    the default one. Raises ``SettingsError`` with all findings of the file
+    and of the operator keys file.
+    """
+    document = read_document(path)
+    findings = list(document.findings)
+    if document.content is not None or not findings:
+        findings.extend(check_schema(document, _load_schema()))
+        faulty = frozenset(finding.path for finding in findings)
+        findings.extend(cross_check(document, faulty))
+        findings.extend(_check_keys(Path(path), document.content))
+    if findings:
+        raise SettingsError(sort_findings(findings))
+    settings = load_builtins(document.content, Settings)
+    folder = Path(path).resolve().parent
+    return dataclasses.replace(
+        settings,
+        data_folder=_resolve(folder, settings.data_folder),
+        operator_keys=_resolve(folder, settings.operator_keys),
+        policy=settings.policy or Policy(),
+    )
+
+
+def _load_schema() -> Any:
+    folder = resources.files('shallotgate.schema')
+    text = (folder / _SCHEMA_FILE).read_text(encoding='utf-8')
+    return YAML(typ='safe', pure=True).load(text)
+
+
+def _resolve(folder: Path, name: str) -> str:
+    return str(folder / name) if name else ''
+
+
+def _check_keys(path: Path, content: object) -> tuple[Finding, ...]:
+    """Return the findings of an operator keys file that exists."""
+    name = content.get('operator_keys') if isinstance(content, dict) else None
+    if not isinstance(name, str) or not name:
+        return ()
+    keys = path.parent / name
+    return check_operator_keys(keys)[1] if keys.is_file() else ()
