--- /dev/null
+++ b/shallotgate/operators/_ports.py
@@ -0,0 +1,46 @@
+"""What the operator's adapter needs from other parts."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from shallotgate.generated.messages import TargetState
+from shallotgate.membership import CommandPort, TierView
+from shallotgate.metrics import Metrics
+from shallotgate.settings import OperatorKey
+
+
+class LeaderPort(Protocol):
+    """Asks the control leader."""
+
+    def call_leader(
+        self,
+        operation: str,
+        argument: object,
+        timeout_s: float,
+    ) -> bytes:
+        """Return the leader's answer as JSON.
+
+        ``operation`` is one of status, history, quarantine, members and
+        replace_member; ``argument`` can be encoded as JSON. Raises
+        ``NoLeaderError`` if no leader took the call, ``CallTimeoutError`` or
+        ``CommitUnknownError`` if one may have, and ``FindingsError`` if the
+        leader refused the argument.
+        """
+
+
+@dataclass(frozen=True)
+class OperatorPorts:
+    """The parts that the operator's adapter reads and calls."""
+
+    keys: Sequence[OperatorKey]
+    view: TierView
+    commands: CommandPort
+    leader: LeaderPort
+    metrics: Metrics
+    # What this instance knows of the targets, as their owners reported.
+    targets: Callable[[], Sequence[TargetState]]
+    # Index versions with their coverage, as content for JSON.
+    snapshots: Callable[[], object]
+    # Why the instance is not ready; empty if it is.
+    readiness: Callable[[], str]
--- a/shallotgate/settings/__init__.py
+++ b/shallotgate/settings/__init__.py
@@ -4,6 +4,7 @@
     Document,
     DocumentPath,
     check_schema,
+    load_schema,
     read_document,
 )
 from shallotgate.settings._keys import (
@@ -20,6 +21,7 @@
     'check_schema',
     'find_operator',
     'load_operator_keys',
+    'load_schema',
     'load_settings',
     'read_document',
 )
--- a/shallotgate/settings/_document.py
+++ b/shallotgate/settings/_document.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from functools import lru_cache
+from importlib import resources
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any
@@ -98,6 +100,14 @@
     return tuple(sort_findings(findings))
 
 
+@lru_cache
+def load_schema(name: str) -> Mapping[str, Any]:
+    """Return a schema of ``shallotgate.schema`` by its name."""
+    path = resources.files('shallotgate.schema') / f'{name}.yaml'
+    text = path.read_text(encoding='utf-8')
+    return MappingProxyType(YAML(typ='safe', pure=True).load(text))
+
+
 def sort_findings(findings: Iterable[Finding]) -> list[Finding]:
     """Order findings by file and line."""
     return sorted(findings, key=_split_place)
--- a/shallotgate/settings/_load.py
+++ b/shallotgate/settings/_load.py
@@ -1,11 +1,7 @@
 """Loading of settings files."""
 
 import dataclasses
-from importlib import resources
 from pathlib import Path
-from typing import Any
-
-from ruamel.yaml import YAML
 
 from shallotgate.codec import load_builtins
 from shallotgate.errors import Finding, SettingsError
@@ -13,12 +9,13 @@
 from shallotgate.settings._cross import cross_check
 from shallotgate.settings._document import (
     check_schema,
+    load_schema,
     read_document,
     sort_findings,
 )
 from shallotgate.settings._keys import check_operator_keys
 
-_SCHEMA_FILE = 'settings.yaml'
+_SCHEMA = 'settings'
 
 
 def load_settings(path: Path | str) -> Settings:
@@ -32,7 +29,7 @@
     document = read_document(path)
     findings = list(document.findings)
     if document.content is not None or not findings:
-        findings.extend(check_schema(document, _load_schema()))
+        findings.extend(check_schema(document, load_schema(_SCHEMA)))
         faulty = frozenset(finding.path for finding in findings)
         findings.extend(cross_check(document, faulty))
         findings.extend(_check_keys(Path(path), document.content))
@@ -48,12 +45,6 @@
     )
 
 
-def _load_schema() -> Any:
-    folder = resources.files('shallotgate.schema')
-    text = (folder / _SCHEMA_FILE).read_text(encoding='utf-8')
-    return YAML(typ='safe', pure=True).load(text)
-
-
 def _resolve(folder: Path, name: str) -> str:
     return str(folder / name) if name else ''
 
