Add the command line

Cause: callers and operators need a tool that scripts can rely on. Change: shallotgate with query, catalogue, domain, instances, targets,

output for people or JSON; documented exit codes. Edits files are checked locally with the line of each fault. A change of unknown outcome is resent with its id; that a resend was not taken does not count as a refusal, because the first sending may be committed. Conclusion: not yet tried with real instances; progress needs an "instances" list with versions in the leader's status.

--- a/shallotgate/cli/__init__.py
+++ b/shallotgate/cli/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP client of instances and the command line."""
+"""Command line for callers and operators, and its HTTP client."""
 
 from shallotgate.cli._client import (
     HttpClient,
@@ -7,11 +7,15 @@
     UnknownOutcomeError,
     make_dated_id,
 )
+from shallotgate.cli._exits import ExitCode
+from shallotgate.cli._main import main
 
 __all__ = (
+    'ExitCode',
     'HttpClient',
     'HttpReply',
     'ServerUnreachableError',
     'UnknownOutcomeError',
+    'main',
     'make_dated_id',
 )
--- /dev/null
+++ b/shallotgate/cli/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line as ``python -m shallotgate.cli``."""
+
+import sys
+
+from shallotgate.cli import main
+
+sys.exit(main())
--- a/shallotgate/cli/_client.py
+++ b/shallotgate/cli/_client.py
@@ -44,7 +44,8 @@
     """
 
     def __init__(self, url: str, token: str, timeout_s: float = 30) -> None:
-        self.url = url.rstrip('/')
+        scheme = '' if '://' in url else 'http://'
+        self.url = f'{scheme}{url}'.rstrip('/') if url else ''
         self._headers = {
             'Authorization': f'Bearer {token}',
             'Content-Type': 'application/json',
@@ -65,6 +66,8 @@
         Raises ``ServerUnreachableError`` if nothing was sent and
         ``UnknownOutcomeError`` if the answer is missing.
         """
+        if not self.url:
+            raise ServerUnreachableError('no address is given')
         try:
             response = self._pool.request(
                 method,
--- /dev/null
+++ b/shallotgate/cli/_session.py
@@ -0,0 +1,68 @@
+"""What all commands share: client, output and reading of pages."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from shallotgate.cli._client import HttpClient, HttpReply, UnknownOutcomeError
+from shallotgate.cli._exits import ExitCode, judge_reply
+from shallotgate.cli._output import Output, format_pairs, format_table
+
+
+@dataclass(frozen=True)
+class Session:
+    """One run of the command line."""
+
+    client: HttpClient
+    output: Output
+
+    def show_page(
+        self,
+        path: str,
+        rows: str = '',
+        columns: Sequence[str] = (),
+    ) -> ExitCode:
+        """Show an operator page.
+
+        ``rows`` names the list within the content that is shown as a table,
+        empty for a content that is the list itself or that has no list.
+        """
+        reply = self.read(path)
+        if reply is None:
+            return ExitCode.UNREACHABLE
+        code = judge_reply(reply)
+        if code != ExitCode.OK:
+            return self.show_refusal(reply)
+        content = reply.content
+        listed = content.get(rows) if isinstance(content, dict) else content
+        if isinstance(listed, list) and columns:
+            text = format_table(listed, columns) if listed else 'none'
+        else:
+            text = format_pairs(_as_mapping(content))
+        self.output.show(content, text)
+        return code
+
+    def read(self, path: str) -> HttpReply | None:
+        """Read a page; None if the answer did not come."""
+        try:
+            return self.client.call('GET', path)
+        except UnknownOutcomeError as error:
+            self.output.remark(str(error))
+            return None
+
+    def show_refusal(self, reply: HttpReply) -> ExitCode:
+        """Show an answer other than success, with all its findings."""
+        content = _as_mapping(reply.content)
+        reason = content.get('reason', 'no reason given')
+        lines = [f'{content.get("outcome", "failed")}: {reason}']
+        lines.extend(
+            f'{finding.get("path")}: {finding.get("reason")}'
+            for finding in content.get('findings', ())
+        )
+        lines.append(content.get('advice', ''))
+        self.output.show(reply.content, '\n'.join(lines).strip())
+        return judge_reply(reply)
+
+
+def _as_mapping(content: Any) -> Mapping[str, Any]:
+    return content if isinstance(content, dict) else {'answer': content}
--- a/shallotgate/settings/__init__.py
+++ b/shallotgate/settings/__init__.py
@@ -4,8 +4,10 @@
     Document,
     DocumentPath,
     check_schema,
+    list_schema_faults,
     load_schema,
     read_document,
+    sort_findings,
 )
 from shallotgate.settings._keys import (
     OperatorKey,
@@ -20,8 +22,10 @@
     'OperatorKey',
     'check_schema',
     'find_operator',
+    'list_schema_faults',
     'load_operator_keys',
     'load_schema',
     'load_settings',
     'read_document',
+    'sort_findings',
 )
--- a/shallotgate/settings/_document.py
+++ b/shallotgate/settings/_document.py
@@ -16,6 +16,7 @@
 from shallotgate.errors import Finding
 
 DocumentPath = tuple[str | int, ...]
+SchemaFault = tuple[DocumentPath, str]
 
 _EMPTY: Mapping[DocumentPath, int] = MappingProxyType({})
 _ROOT: DocumentPath = ()
@@ -92,12 +93,23 @@
     document: Document, schema: Mapping[str, Any]
 ) -> tuple[Finding, ...]:
     """Return the findings of a JSON Schema, ordered by line."""
+    return tuple(
+        sort_findings(
+            document.make_finding(path, reason)
+            for path, reason in list_schema_faults(document, schema)
+        )
+    )
+
+
+def list_schema_faults(
+    document: Document, schema: Mapping[str, Any]
+) -> tuple[SchemaFault, ...]:
+    """Return path and reason of each fault that a JSON Schema finds."""
     errors = Draft202012Validator(dict(schema)).iter_errors(document.content)
     # An error for a missing key is repeated for each other missing key.
-    findings = dict.fromkeys(
-        finding for error in errors for finding in _explain(document, error)
+    return tuple(
+        dict.fromkeys(fault for error in errors for fault in _explain(error))
     )
-    return tuple(sort_findings(findings))
 
 
 @lru_cache
@@ -190,17 +202,17 @@
     return str(key.tag) in {_STRING_TAG, _MERGE_TAG}
 
 
-def _explain(document: Document, error: ValidationError) -> Iterator[Finding]:
+def _explain(error: ValidationError) -> Iterator[SchemaFault]:
     path: DocumentPath = tuple(error.absolute_path)
     content: Any = error.instance
     demanded: Any = error.validator_value
     if error.validator == 'required':
         for missing in sorted(set(demanded) - set(content)):
-            yield document.make_finding((*path, missing), 'is missing')
+            yield (*path, missing), 'is missing'
     elif error.validator == 'additionalProperties':
         schema: Any = error.schema
         for extra in sorted(set(content) - set(schema.get('properties', ()))):
-            yield document.make_finding((*path, extra), 'is unknown')
+            yield (*path, extra), 'is unknown'
     else:
         known = _REASONS.get(str(error.validator), f'{error.validator}: {{}}')
-        yield document.make_finding(path, known.format(demanded))
+        yield path, known.format(demanded)
