Add the owner side of targets

Cause: slots, connections, cold start, drain and crash suspicion of a target have to be decided in one place, by its owner.

Change: OwnedTargets follows the view and opens a TargetPool for each held target: deadline-ordered queue, limiter with cold start, one thread for each connection, checks of lease, ownership, domain and quarantine before each dispatch, confirmation of lost targets, suspects and trials. HttpTargetEdge speaks the target protocol; OwnerServer takes attempts from other instances; PlatformList polls the platform. TargetConnection gains report and read_report, which replace TargetEdge.read_report: a connection is opened with a report, and reports are polled on a kept connection.

--- a/shallotgate/targets/__init__.py
+++ b/shallotgate/targets/__init__.py
@@ -6,5 +6,21 @@
     TargetReply,
     TargetReport,
 )
+from shallotgate.targets._http import MAX_REPLY_BYTES, HttpTargetEdge
+from shallotgate.targets._owned import OwnedTargets
+from shallotgate.targets._platform import PlatformList
+from shallotgate.targets._server import OwnerServer
+from shallotgate.targets._work import OnReply
 
-__all__ = ('TargetConnection', 'TargetEdge', 'TargetReply', 'TargetReport')
+__all__ = (
+    'MAX_REPLY_BYTES',
+    'HttpTargetEdge',
+    'OnReply',
+    'OwnedTargets',
+    'OwnerServer',
+    'PlatformList',
+    'TargetConnection',
+    'TargetEdge',
+    'TargetReply',
+    'TargetReport',
+)
--- a/shallotgate/targets/_edge.py
+++ b/shallotgate/targets/_edge.py
@@ -44,23 +44,31 @@
 class TargetConnection(Protocol):
     """One open connection; used by one thread at a time."""
 
+    @property
+    def report(self) -> TargetReport:
+        """What the target reported when the connection was opened."""
+
     def run(self, attempt: Attempt, timeout_s: float) -> TargetReply:
         """Send an attempt and wait for the reply.
 
-        Raises ``TargetConnectError`` only if nothing was sent, else
+        The target is told ``timeout_s`` as the attempt's time. Raises
+        ``TargetConnectError`` only if nothing was sent, else
         ``TargetLostError``, ``TargetTimeoutError`` or
         ``TargetProtocolError``; after any of them it must be closed.
         """
 
+    def read_report(self, timeout_s: float) -> TargetReport:
+        """Read the report on this connection; raises ``TargetError``."""
+
     def close(self) -> None:
         """Close, also from another thread, which ends a ``run``."""
 
 
 class TargetEdge(Protocol):
-    """Opens connections to targets and reads their reports."""
+    """Opens connections to targets."""
 
     def connect(self, target: Target, timeout_s: float) -> TargetConnection:
-        """Open a connection; raises ``TargetConnectError``."""
+        """Open a connection and read the report on it.
 
-    def read_report(self, target: Target, timeout_s: float) -> TargetReport:
-        """Read the report on a connection of its own; ``TargetError``."""
+        Raises ``TargetError`` if there is no connection or no valid report.
+        """
