Add the daemon: the whole path stands

Cause: the parts had no composition root, and the check of generated files compared output that was formatted by different settings. Change: shallotgated wires control and entry roles, serves callers and operators, and stops gracefully; generation always runs in a folder of its own.

--- /dev/null
+++ b/shallotgate/daemon/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m shallotgate.daemon``."""
+
+from shallotgate.daemon import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/shallotgate/daemon/_entry.py
@@ -0,0 +1,180 @@
+"""Parts of the entry role."""
+
+from collections.abc import Sequence
+
+from shallotgate.daemon._base import Base
+from shallotgate.edge import CallerApplication
+from shallotgate.generated.messages import TargetState
+from shallotgate.http import HttpServer
+from shallotgate.logs import get_logger
+from shallotgate.query import QueryParts, QueryService
+from shallotgate.routing import (
+    IndexMap,
+    LatencyTracker,
+    MailboxAttemptPort,
+    Observations,
+    ReplicaChooser,
+    ReportSubscriber,
+)
+from shallotgate.targets import (
+    HttpTargetEdge,
+    OwnedTargets,
+    OwnerServer,
+    PlatformList,
+)
+
+_LOGGER = get_logger('daemon')
+_IDLE_LIMIT_S = 60
+
+
+class EntryRole:
+    """Serves callers and owns targets."""
+
+    def __init__(self, base: Base, *, entries: int) -> None:
+        """Wire the parts.
+
+        ``entries`` is the number of entry instances, which only the baseline
+        ``policy.limits: split`` uses.
+        """
+        self._base = base
+        self.index_map = IndexMap()
+        self._observations = Observations()
+        self.owned = OwnedTargets(
+            view=base.view,
+            lease=base.session.lease,
+            edge=HttpTargetEdge(),
+            commands=base.client,
+            timers=base.timers,
+            metrics=base.metrics,
+            policy=base.policy,
+            instance=base.settings.instance,
+            start_id=base.start_id,
+            on_release=base.session.add_release,
+            entries=entries,
+            max_attempt_ms=base.settings.max_attempt_ms,
+        )
+        self._owner_server = OwnerServer(base.mailbox, self.owned, base.timers)
+        self._reports = ReportSubscriber(
+            base.mailbox,
+            base.view,
+            self._observations,
+        )
+        self._platform = self._make_platform_list()
+        self._make_query_path()
+
+    def subscribe(self) -> None:
+        """Subscribe to messages; call before the mailbox starts."""
+        self._owner_server.start()
+        self._port.start(self._base.timers)
+        self._reports.start(self._base.timers)
+
+    def start(self) -> None:
+        """Own targets and serve callers."""
+        self.owned.start()
+        if self._platform is not None:
+            self._platform.start()
+        self._server.start()
+        _LOGGER.info('Serving callers.', extra={'address': self.address})
+
+    @property
+    def address(self) -> str:
+        """Return the bound address for callers."""
+        return self._server.address
+
+    def is_informed(self) -> bool:
+        """Return whether the owners of all targets have reported."""
+        return self._base.policy.limits != 'owner' or (
+            self._reports.is_informed()
+        )
+
+    def list_states(self) -> Sequence[TargetState]:
+        """Return what this instance knows of the targets."""
+        return [
+            observation.state
+            for observation in self._observations
+            if observation.state is not None
+        ]
+
+    def list_snapshots(self) -> dict[str, list[int]]:
+        """Return the known index versions of each group."""
+        services = self._base.view.current().catalogue.services
+        groups = sorted({service.group for service in services.values()})
+        return {
+            group: list(self.index_map.list_versions(group)) for group in groups
+        }
+
+    def finish(self) -> None:
+        """Answer what was accepted and serve no more callers."""
+        self._queries.stop_accepting()
+        if not self._queries.wait_idle(_IDLE_LIMIT_S):
+            _LOGGER.warning('Queries were still running at the stop.')
+        self._server.stop()
+
+    def stop(self) -> None:
+        """Stop owning targets, after their attempts have finished."""
+        if self._platform is not None:
+            self._platform.stop()
+        self.owned.stop()
+        self._owner_server.stop()
+
+    def _make_platform_list(self) -> PlatformList | None:
+        settings = self._base.settings
+        if not settings.platform_url:
+            return None
+        return PlatformList(
+            settings.platform_url,
+            settings.platform_poll_s,
+            lambda _, leaving: self.owned.mark_leaving(leaving),
+        )
+
+    def _make_query_path(self) -> None:
+        base = self._base
+        latency = LatencyTracker()
+        self._port = MailboxAttemptPort(
+            mailbox=base.mailbox,
+            local=self.owned,
+            view=base.view,
+            observations=self._observations,
+            index_map=self.index_map,
+            latency=latency,
+            metrics=base.metrics,
+            limits=base.policy.limits,
+        )
+        chooser = ReplicaChooser(
+            observations=self._observations,
+            index_map=self.index_map,
+            view=base.view,
+            instance=base.settings.instance,
+            domain=base.settings.domain,
+            limits=base.policy.limits,
+            rng=base.generator,
+        )
+        self._queries = QueryService(
+            QueryParts(
+                view=base.view,
+                lease=base.session.lease,
+                port=self._port,
+                commands=base.client,
+                chooser=chooser,
+                latency=latency,
+                metrics=base.metrics,
+                policy=base.policy,
+                domain=base.settings.domain,
+                start_id=base.start_id,
+                max_attempt_ms=base.settings.max_attempt_ms,
+            ),
+        )
+        self._server = HttpServer(
+            base.settings.caller_address,
+            CallerApplication(self._queries, base.view, self.find_unready),
+            threads=base.settings.caller_threads,
+            max_body_bytes=base.settings.max_body_bytes,
+        )
+
+    def find_unready(self) -> str:
+        """Return why callers are not served; empty if they are."""
+        if self._base.session.lease.remaining_s() <= 0:
+            return 'no lease'
+        if not self.is_informed():
+            return 'waiting for the reports of target owners'
+        return ''
--- /dev/null
+++ b/shallotgate/daemon/_process.py
@@ -0,0 +1,114 @@
+"""Composition root: wires the parts, starts them and stops them."""
+
+import threading
+import time
+
+from shallotgate.daemon._base import make_base
+from shallotgate.daemon._control import ControlRole
+from shallotgate.daemon._entry import EntryRole
+from shallotgate.daemon._operators import make_operator_server
+from shallotgate.generated.settings import Settings
+from shallotgate.invariants import configure_invariants
+from shallotgate.logs import get_logger
+
+_LOGGER = get_logger('daemon')
+_POLL_S = 0.05
+# A process that can't hand its targets over leaves after this time; their
+# next owners then wait for its lease to run out.
+_RELEASE_LIMIT_S = 10
+_MS_PER_S = 1000
+
+
+class Process:
+    """One ``shallotgated`` process with its roles."""
+
+    def __init__(self, settings: Settings) -> None:
+        configure_invariants(abort_on_breach=settings.abort_on_breach)
+        self._base = make_base(settings)
+        self._control = None
+        self._entry = None
+        if 'control' in settings.roles:
+            self._control = ControlRole(self._base)
+        if 'entry' in settings.roles:
+            self._entry = EntryRole(
+                self._base,
+                entries=settings.entry_instances,
+            )
+        self._operators = make_operator_server(
+            self._base,
+            self._entry,
+            self.find_unready,
+        )
+        self._leaving = threading.Event()
+        self._announced = False
+
+    def start(self) -> None:
+        """Start all parts; the process is ready some time later."""
+        base = self._base
+        if self._control:
+            self._control.subscribe()
+        if self._entry:
+            self._entry.subscribe()
+        base.timers.start()
+        base.mailbox.start()
+        if self._control:
+            self._control.start()
+        base.session.start()
+        if self._entry:
+            self._entry.start()
+        self._operators.start()
+        base.timers.every(_POLL_S, self._announce_ready)
+        _LOGGER.info(
+            'Started.',
+            extra={'start_id': base.start_id, 'roles': base.settings.roles},
+        )
+
+    def find_unready(self) -> str:
+        """Return why the process is not ready; empty if it is."""
+        if self._leaving.is_set():
+            return 'leaving'
+        if self._entry is not None:
+            return self._entry.find_unready()
+        if self._base.session.lease.remaining_s() <= 0:
+            return 'no lease'
+        return ''
+
+    def stop(self) -> None:
+        """Leave the tier without cutting a request."""
+        _LOGGER.info('Leaving.')
+        self._leaving.set()
+        base = self._base
+        base.session.set_readiness('leaving')
+        if self._entry:
+            # The balancer still sends requests until it has noticed.
+            time.sleep(base.settings.linger_ms / _MS_PER_S)
+            self._entry.finish()
+            self._wait_released()
+            self._entry.stop()
+        if self._control:
+            self._control.stop()
+        base.session.stop()
+        self._operators.stop()
+        base.timers.stop()
+        base.mailbox.stop()
+        _LOGGER.info('Stopped.')
+
+    def _announce_ready(self) -> None:
+        if self._announced or self._leaving.is_set():
+            return
+        if self._base.session.lease.remaining_s() > 0:
+            self._announced = True
+            self._base.session.set_readiness('ready')
+
+    def _wait_released(self) -> None:
+        deadline = time.monotonic() + _RELEASE_LIMIT_S
+        while self._count_owned() and time.monotonic() < deadline:
+            time.sleep(_POLL_S)
+
+    def _count_owned(self) -> int:
+        ownership = self._base.view.current().ownership
+        return sum(
+            owned.instance == self._base.settings.instance
+            and owned.start_id == self._base.start_id
+            for owned in ownership.values()
+        )
--- a/testkit/bench/__main__.py
+++ b/testkit/bench/__main__.py
@@ -13,6 +13,8 @@
 from testkit.bench._run import make_content, run_scenario
 from testkit.bench._scenario import Scenario, list_scenarios, load_scenario
 
+DEFAULT_FOLDER = Path('out')
+
 
 def parse_pairs(pairs: Sequence[str]) -> dict[str, Any]:
     """Parse NAME=VALUE pairs, values as in YAML.
@@ -34,7 +36,7 @@
     change: Sequence[str] = (),
     label: str = '',
     seed: int = 1,
-    out: Path = Path('out'),
+    out: Path = DEFAULT_FOLDER,
 ) -> None:
     """Run scenarios one after the other.
 
--- a/testkit/bench/_actions.py
+++ b/testkit/bench/_actions.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 import urllib3
@@ -112,14 +113,16 @@
     tier.instances[event.subject].start()
 
 
-ACTIONS: Mapping[str, _Action] = {
-    'slow': _slow,
-    'turn_cold': _turn_cold,
-    'take_out': _take_out,
-    'return': _return,
-    'restart_target': _restart_target,
-    'kill': _kill,
-    'kill_leader': _kill_leader,
-    'stop': _stop,
-    'start': _start,
-}
+ACTIONS: Mapping[str, _Action] = MappingProxyType(
+    {
+        'slow': _slow,
+        'turn_cold': _turn_cold,
+        'take_out': _take_out,
+        'return': _return,
+        'restart_target': _restart_target,
+        'kill': _kill,
+        'kill_leader': _kill_leader,
+        'stop': _stop,
+        'start': _start,
+    }
+)
--- a/testkit/bench/_load.py
+++ b/testkit/bench/_load.py
@@ -1,6 +1,5 @@
 """Open-loop load: queries are due at their times, whatever came before."""
 
-import http.client
 import itertools
 import json
 import queue
@@ -9,6 +8,7 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPException
 
 from testkit.bench._deployment import CALLER, GROUP
 from testkit.bench._scenario import Scenario
@@ -60,7 +60,7 @@
         self._arrivals: queue.SimpleQueue[_Arrival | None] = queue.SimpleQueue()
         self._turns = itertools.count()
         self._samples: list[Sample] = []
-        self._started_at = 0.0
+        self._started_at: float = 0
 
     def run(self) -> list[Sample]:
         """Offer the load of the scenario, warm-up included."""
@@ -97,7 +97,7 @@
             self._arrivals.put(_Arrival(due_s, content))
 
     def _work(self) -> None:
-        connections: dict[str, http.client.HTTPConnection] = {}
+        connections: dict[str, HTTPConnection] = {}
         while True:
             arrival = self._arrivals.get()
             if arrival is None:
@@ -108,35 +108,37 @@
 
     def _ask(
         self,
-        connections: dict[str, http.client.HTTPConnection],
+        connections: dict[str, HTTPConnection],
         address: str,
         arrival: _Arrival,
     ) -> None:
         connection = connections.get(address)
         if connection is None:
-            connection = http.client.HTTPConnection(
+            connection = HTTPConnection(
                 address,
                 timeout=_CLIENT_TIMEOUT_S,
             )
             connections[address] = connection
         try:
             answer = self._exchange(connection, arrival)
-        except (OSError, http.client.HTTPException, ValueError) as error:
+        except (OSError, HTTPException, ValueError) as error:
             connection.close()
             answer = {'outcome': 'cut', 'reason': type(error).__name__}
         self._note(arrival, answer)
 
     def _exchange(
         self,
-        connection: http.client.HTTPConnection,
+        connection: HTTPConnection,
         arrival: _Arrival,
     ) -> dict[str, object]:
-        body = json.dumps({
-            'group': GROUP,
-            'class_name': self._scenario.class_name,
-            'query': {'cheque': arrival.content},
-            'limit': 10,
-        })
+        body = json.dumps(
+            {
+                'group': GROUP,
+                'class_name': self._scenario.class_name,
+                'query': {'cheque': arrival.content},
+                'limit': 10,
+            }
+        )
         connection.request('POST', '/v1/query', body, self._headers)
         answer: dict[str, object] = json.loads(connection.getresponse().read())
         return answer
--- a/testkit/bench/_run.py
+++ b/testkit/bench/_run.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Mapping, Sequence
 from dataclasses import asdict, dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -85,24 +86,26 @@
 def _wait_complete(tier: Tier) -> None:
     """Wait until every entry answers a query completely."""
     for plan in tier.deployment.instances:
-        client = tier.clients.caller(plan.name, tier.deployment.callers[0].name)
-        request = {'group': GROUP, 'class_name': 'teller', 'query': {}}
+        wait_until(
+            partial(_is_complete, tier, plan.name),
+            _SNAPSHOT_LIMIT_S,
+            f'{plan.name} complete',
+        )
 
-        def is_complete() -> bool:
-            answer = client.call('POST', '/v1/query', request).content
-            return bool(answer.get('outcome') == 'complete')
 
-        wait_until(is_complete, _SNAPSHOT_LIMIT_S, f'{plan.name} complete')
+def _is_complete(tier: Tier, instance: str) -> bool:
+    client = tier.clients.caller(instance, tier.deployment.callers[0].name)
+    request = {'group': GROUP, 'class_name': 'teller', 'query': {}}
+    answer = client.call('POST', '/v1/query', request).content
+    return bool(answer.get('outcome') == 'complete')
 
 
 def _list_entries(tier: Tier) -> list[str]:
-    return [
-        tier.layout.addresses[name].caller for name in tier.list_running()
-    ]
+    return [tier.layout.addresses[name].caller for name in tier.list_running()]
 
 
 def _read_cpu_s(tier: Tier) -> float:
-    total = 0.0
+    total: float = 0
     for name in tier.list_running():
         path = Path(f'/proc/{tier.instances[name].pid}/stat')
         fields = path.read_text().rpartition(')')[2].split()
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -46,19 +46,28 @@
     )
 
 
+def render(schema: Path) -> str:
+    """Return the generated text of one schema file.
+
+    The generator formats by the settings it finds near its output, so it
+    always writes to a folder of its own.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        output = Path(folder) / f'{schema.stem}.py'
+        generate(schema, output)
+        return output.read_text()
+
+
 def main() -> int:
     """Generate all files, or compare them with ``--check``."""
     stale = []
     for schema in sorted(SCHEMAS.glob('*.yaml')):
         committed = GENERATED / f'{schema.stem}.py'
+        fresh = render(schema)
         if '--check' not in sys.argv:
-            generate(schema, committed)
-            continue
-        with tempfile.TemporaryDirectory() as folder:
-            fresh = Path(folder) / committed.name
-            generate(schema, fresh)
-            if fresh.read_text() != committed.read_text():
-                stale.append(committed.name)
+            committed.write_text(fresh)
+        elif fresh != committed.read_text():
+            stale.append(committed.name)
     for name in stale:
         sys.stderr.write(f'generated/{name} differs: run "make generate"\n')
     return int(bool(stale))
