--- a/shallotgate/http/_server.py
+++ b/shallotgate/http/_server.py
@@ -15,6 +15,8 @@
 _LOGGER = get_logger('http')
 _SHUTDOWN_TIMEOUT_S = 30
 _QUEUE_SIZE = 256
+# Longer than a balancer keeps an idle connection, so that it closes first.
+_IDLE_TIMEOUT_S = 75
 _REASONS = MappingProxyType(
     {
         200: 'OK',
@@ -92,6 +94,7 @@
             numthreads=threads,
             request_queue_size=_QUEUE_SIZE,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+            timeout=_IDLE_TIMEOUT_S,
         )
         self._server.error_log = self._log_error  # type: ignore[method-assign]
         self._thread = threading.Thread(
