--- a/shallotgate/consensus/_changes.py
+++ b/shallotgate/consensus/_changes.py
@@ -108,7 +108,13 @@
         deadline: float,
     ) -> str:
         core = self._core
-        is_caught_up = partial(self._is_caught_up, leadership, instance)
+        # An answer from before the call may stem from a disk that was lost.
+        is_caught_up = partial(
+            self._is_caught_up,
+            leadership,
+            instance,
+            time.monotonic(),
+        )
         if not core.wait_until(is_caught_up, deadline):
             raise ConsensusError(f'{instance} has not caught up in time')
         with core.changed:
@@ -116,16 +122,20 @@
                 raise NotLeaderError(core.leader)
             return leadership.identities[instance]
 
-    def _is_caught_up(self, leadership: Leadership, instance: str) -> bool:
-        core = self._core
+    def _is_caught_up(
+        self,
+        leadership: Leadership,
+        instance: str,
+        called_at: float,
+    ) -> bool:
         if leadership.is_closed:
             return True
         identity = leadership.identities.get(instance, '')
         progress = leadership.progress.get(identity)
         if progress is None or not leadership.is_ready:
             return False
-        is_live = time.monotonic() - progress.acked_at < core.times.lease_s
-        return is_live and progress.match >= core.commit
+        is_live = progress.acked_at >= called_at
+        return is_live and progress.match >= self._core.commit
 
     def _holds_all(self, progress: Progress) -> bool:
         return (
