--- a/shallotgate/state/_machine.py
+++ b/shallotgate/state/_machine.py
@@ -78,7 +78,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._index = 0
-        self._time: float = 0
+        self._time = float(0)
         self._catalogue = CatalogueTable()
         self._once = OnceTable()
         self._ownership = OwnershipTable()
