Test sessions, leases, the command port and a tier on loopback

A lease that counts too early or too long breaks the 5 s guarantees.

Scripted links test the session and the command port; four control services and entries on loopback test the whole path. A read call without an answer now ends as NoLeaderError, because only a change can be in doubt.

--- a/shallotgate/control/tests/test_tier.py
+++ b/shallotgate/control/tests/test_tier.py
@@ -3,51 +3,36 @@
 
 import pytest
 
-from shallotgate.control.tests.fakes import Tier, wait_until
-from shallotgate.generated.messages import ChangeCatalogue
+from shallotgate.control.tests.fakes import Tier, free_address, wait_until
+from shallotgate.errors import CommitUnknownError, NoLeaderError
+from shallotgate.generated.messages import (
+    ChangeCatalogue,
+    ClaimOnce,
+    Learnt,
+    MoveOwners,
+    Release,
+)
+from shallotgate.invariants import read_breaches
+from shallotgate.membership import LeaderCallError
+from shallotgate.state.tests.builders import domain, make_id, put, target
 
 
 @pytest.fixture
 def tier():
+    before = read_breaches()
     tier = Tier()
     yield tier
     tier.stop()
+    assert read_breaches() == before
 
 
-def change_id(tail='00000001'):
-    return time.strftime('%Y%m%dT%H%M%SZ-', time.gmtime()) + tail
-
-
-def make_change(base=0, targets=2, tail='00000001', domain=None):
-    edits = [
-        {
-            'op': 'put',
-            'kind': 'domains',
-            'name': 'a',
-            'spec': {'owner': 'ada', 'region': 'r', **(domain or {})},
-        }
-    ]
-    specs = [
-        {
-            'name': f't{number}',
-            'address': f'127.0.0.1:{number + 1}',
-            'domain': 'a',
-            'slots': 3,
-            'connections': 30,
-        }
-        for number in range(targets)
-    ]
-    if targets:
-        edits.append(
-            {
-                'op': 'put',
-                'kind': 'services',
-                'name': 's',
-                'spec': {'owner': 'ada', 'group': 'g', 'targets': specs},
-            }
-        )
+def make_change(base=0, tail='1', edits=None):
+    if edits is None:
+        targets = [target('t0', 1), target('t1', 2)]
+        service = put('services', 's', owner='ada', group='g', targets=targets)
+        edits = [domain('a'), service]
     change = {
-        'change_id': change_id(tail),
+        'change_id': make_id(tail, time.time()),
         'base_version': base,
         'edits': edits,
         'reason': 'test',
@@ -60,7 +45,15 @@
     )
 
 
-def test_thin_path(tier):
+def list_owners(node):
+    owners = node.view.current().ownership.values()
+    return {
+        owned.instance if owned.state == 'held' else 'moving'
+        for owned in owners
+    }
+
+
+def test_from_start_to_owned_targets(tier):
     """Guards against a tier that never gets from start to owned targets."""
     tier.group.elect('m1')
     entry = tier.add('e1', ready=True)
@@ -69,7 +62,172 @@
     assert verdict.outcome == 'accepted'
     wait_until(lambda: len(entry.view.current().ownership) == 2)
     view = entry.view.current()
-    assert {owned.instance for owned in view.ownership.values()} == {'e1'}
+    assert list_owners(entry) == {'e1'}
     assert set(view.places) == {'t0', 't1'}
     assert set(view.instances) == {'e1', 'm1', 'm2', 'm3'}
     assert 3 < entry.lease_s <= 4
+    # The command was sent without a time; the log has the leader's.
+    assert abs(tier.state.time - time.time()) < 5
+
+
+def test_change_is_in_effect_everywhere_or_the_lease_is_gone(tier):
+    """Guards against work on an old catalogue 5 s after a change."""
+    tier.group.elect('m1')
+    nodes = [tier.add(f'e{n}', ready=True) for n in range(3)]
+    for node in nodes:
+        assert node.session.wait_until_ready(5)
+    # One is cut off from the leader.
+    cut = nodes[2]
+    cut.session.link.call = lambda *_: None
+    nodes[0].client.propose(make_change(), 5)
+    accepted_at = time.monotonic()
+
+    def is_safe(node):
+        version = node.view.current().versions.catalogue
+        return version == 1 or node.lease_s <= 0
+
+    wait_until(lambda: all(is_safe(node) for node in nodes))
+    assert time.monotonic() - accepted_at < 5
+    assert cut.view.current().versions.catalogue == 0
+    assert nodes[1].lease_s > 0
+
+
+def test_leader_change_costs_no_lease(tier):
+    """Guards against refusals to callers because of an election."""
+    tier.group.elect('m1')
+    entry = tier.add('e1', ready=True)
+    change = make_change()
+    assert entry.session.wait_until_ready(5)
+    assert entry.client.propose(change, 5).version == 1
+    later = make_change(base=1, tail='2', edits=[domain('b')])
+    assert entry.client.propose(later, 5).version == 2
+    tier.group.elect('m2')
+    ends_at = time.monotonic() + 6
+    while time.monotonic() < ends_at:
+        assert entry.lease_s > 0
+        time.sleep(0.02)
+    # A resend to the new leader gets the first verdict.
+    assert entry.client.propose(change, 5).version == 1
+
+
+def test_without_a_leader_all_leases_end(tier):
+    """Guards against service that the control group no longer knows of."""
+    tier.group.elect('m1')
+    entry = tier.add('e1', ready=True)
+    assert entry.session.wait_until_ready(5)
+    tier.group.elect(None)
+    lost_at = time.monotonic()
+    wait_until(lambda: entry.lease_s <= 0)
+    assert time.monotonic() - lost_at < 4.1
+    with pytest.raises(NoLeaderError):
+        entry.client.propose(make_change(), 0.5)
+    tier.group.elect('m3')
+    wait_until(lambda: entry.lease_s > 0)
+
+
+def test_lost_answer_does_not_apply_a_change_twice(tier):
+    """Guards against a second change or claim by a repeated command."""
+    tier.group.elect('m1')
+    entry = tier.add('e1')
+    assert entry.session.wait_until_ready(5)
+    tier.group.lost_answers = 1
+    assert entry.client.propose(make_change(), 5).version == 1
+    claim = ClaimOnce(
+        key=make_id('1', time.time()),
+        caller='x',
+        digest='d',
+        claim='c',
+        time=0,
+    )
+    tier.group.lost_answers = 1
+    assert entry.client.propose(claim, 5).status == 'claimed'
+    tier.group.lost_answers = 10**6
+    with pytest.raises(CommitUnknownError):
+        entry.client.propose(make_change(base=1, tail='2'), 0.5)
+    tier.group.lost_answers = 0
+
+
+def test_leaving_entry_hands_on_what_it_learnt(tier):
+    """Guards against a cold start of targets after a planned stop."""
+    tier.group.elect('m1')
+    leaving = tier.add('e1', ready=True)
+    assert leaving.session.wait_until_ready(5)
+    leaving.client.propose(make_change(), 5)
+    wait_until(lambda: list_owners(leaving) == {'e1'})
+    other = tier.add('e2', ready=True)
+    learnt = Learnt(limit=3, normal_ms=20, target_start_id='x')
+
+    def release(view):
+        for owned in view.ownership.values():
+            if owned.instance == 'e1' and owned.state == 'moving':
+                leaving.session.add_release(
+                    Release(
+                        target=owned.target, epoch=owned.epoch, learnt=learnt
+                    )
+                )
+
+    leaving.view.subscribe(release)
+    leaving.session.set_readiness('leaving')
+    wait_until(lambda: list_owners(other) == {'e2'})
+    owners = other.view.current().ownership.values()
+    assert {owned.learnt for owned in owners} == {learnt}
+    # The release ends in the heartbeats when it was acted on.
+    wait_until(lambda: list_owners(leaving) == {'e2'})
+    releases = leaving.session._releases
+    assert not releases.list_open(leaving.view.current().ownership)
+
+
+def test_instance_that_leads_talks_to_itself():
+    """Guards against a lone daemon with both roles that gets no lease."""
+    tier = Tier(members=())
+    tier.members = ('m1',)
+    tier.addresses['m1'] = free_address()
+    try:
+        node = tier.add('m1', roles=['entry', 'control'], ready=True)
+        tier.group.elect('m1')
+        assert node.session.wait_until_ready(5)
+        assert node.client.propose(make_change(), 5).version == 1
+        wait_until(lambda: list_owners(node) == {'m1'})
+    finally:
+        tier.stop()
+
+
+def test_operators_calls(tier):
+    """Guards against a status that comes from a member's old copy."""
+    entry = tier.add('e1', ready=True)
+    with pytest.raises(NoLeaderError):
+        entry.client.call_leader('status', None, 0.3)
+    tier.group.elect('m2')
+    assert entry.session.wait_until_ready(5)
+    entry.client.propose(make_change(), 5)
+    wait_until(lambda: list_owners(entry) == {'e1'})
+
+    def get_instance():
+        status = entry.client.call_leader('status', None, 5)
+        assert (status['leader'], status['versions']['catalogue']) == ('m2', 1)
+        instances = {one['instance']: one for one in status['instances']}
+        return instances['e1']
+
+    wait_until(lambda: get_instance()['versions']['catalogue'] == 1)
+    instance = get_instance()
+    assert (instance['domain'], instance['readiness']) == ('a', 'ready')
+    assert 0 <= instance['lease_age_ms'] < 1500
+    (record,) = entry.client.call_leader('history', None, 5)
+    assert (record['operator'], record['version']) == ('ada', 1)
+    assert entry.client.call_leader('quarantine', None, 5) == []
+    members = entry.client.call_leader('members', None, 5)
+    assert members == {'members': ['m1', 'm2', 'm3']}
+    entry.client.call_leader('replace_member', {'instance': 'm3'}, 5)
+    assert tier.group.logs['m2'].replaced == 'm3'
+    for argument in ({}, {'instance': 'm3', 'timeout_s': 'x'}, None):
+        with pytest.raises(LeaderCallError):
+            entry.client.call_leader('replace_member', argument, 5)
+
+
+def test_instances_can_not_move_targets(tier):
+    """Guards against ownership that was not decided by the leader."""
+    tier.group.elect('m1')
+    entry = tier.add('e1')
+    assert entry.session.wait_until_ready(5)
+    result = entry.client.propose(MoveOwners(moves=[], time=0), 5)
+    assert 'only the leader' in result.reason
--- a/shallotgate/membership/_client.py
+++ b/shallotgate/membership/_client.py
@@ -115,7 +115,8 @@
         """Return the leader's answer to an operator's call.
 
         Argument and answer are JSON values. Raises ``LeaderCallError`` if
-        the leader could not do it, else the errors of ``propose``.
+        the leader could not do it, ``NoLeaderError`` if there was no answer,
+        and ``CommitUnknownError`` if a change may have been made.
         """
         message = LeaderCall(
             operation=operation,
@@ -131,6 +132,8 @@
                 if reply.status == 'failed':
                     raise LeaderCallError(reply.body.decode())
                 return msgspec.json.decode(reply.body)
+        # Without an answer nothing is in doubt where nothing was asked for.
+        progress.in_doubt = progress.in_doubt and is_change
         raise progress.make_error()
 
     def _ask(
--- /dev/null
+++ b/shallotgate/membership/tests/test_client.py
@@ -0,0 +1,93 @@
+import pytest
+
+from shallotgate.codec import encode_tagged
+from shallotgate.errors import (
+    CallTimeoutError,
+    CommitUnknownError,
+    NoLeaderError,
+    PeerUnreachableError,
+)
+from shallotgate.generated.messages import (
+    AdvanceTime,
+    Done,
+    LeaderCallReply,
+    ProposeReply,
+)
+from shallotgate.membership import ControlClient, DirectLink, LeaderCallError
+from shallotgate.membership.tests.fakes import ScriptedLink
+
+COMMAND = AdvanceTime(time=0)
+DONE = ProposeReply(status='done', outcome=encode_tagged(Done(changed=True)))
+NOT_LEADER = ProposeReply(status='not_leader')
+UNKNOWN = ProposeReply(status='unknown')
+
+
+def run(*replies, timeout_s=0.3):
+    """Propose; the last reply is repeated."""
+    queue = list(replies)
+
+    def answer(peer, message, call_s):
+        return queue.pop(0) if len(queue) > 1 else queue[0]
+
+    return ControlClient(ScriptedLink(answer)).propose(COMMAND, timeout_s)
+
+
+@pytest.mark.parametrize(
+    'replies',
+    [
+        [NOT_LEADER, DONE],
+        [UNKNOWN, DONE],
+        [CallTimeoutError('lost'), NOT_LEADER, DONE],
+        [PeerUnreachableError('no route'), DONE],
+    ],
+)
+def test_command_is_sent_again_until_it_is_settled(replies):
+    """Guards against giving up while the leader changes."""
+    assert run(*replies, timeout_s=5) == Done(changed=True)
+
+
+@pytest.mark.parametrize(
+    'replies', [[NOT_LEADER], [PeerUnreachableError('no route')]]
+)
+def test_command_that_was_never_taken(replies):
+    """Guards against calling a request unknown that was not taken."""
+    with pytest.raises(NoLeaderError):
+        run(*replies)
+
+
+@pytest.mark.parametrize(
+    'replies', [[CallTimeoutError('lost'), NOT_LEADER], [UNKNOWN]]
+)
+def test_command_that_may_have_been_taken(replies):
+    """Guards against an untrue "not run" after an answer was lost."""
+    with pytest.raises(CommitUnknownError):
+        run(*replies)
+
+
+def test_failed_operation_is_an_error():
+    """Guards against an operator who takes a failure for an answer."""
+    replies = {
+        'm1': LeaderCallReply(status='not_leader', leader='m2', body=b''),
+        'm2': LeaderCallReply(status='failed', body=b'no such member'),
+    }
+    client = ControlClient(ScriptedLink(lambda peer, *_: replies[peer]))
+    with pytest.raises(LeaderCallError, match='no such member'):
+        client.call_leader('replace_member', {'instance': 'x'}, 1)
+    replies['m2'] = LeaderCallReply(status='done', body=b'{"a": 1}')
+    assert client.call_leader('status', None, 1) == {'a': 1}
+
+
+def test_link_goes_round_and_follows_hints():
+    """Guards against asking one member only."""
+    link = DirectLink(None, ['m1', 'm2', 'm3'])
+    link.mark_refused('m1', '')
+    assert link.choose() == 'm2'
+    # A second thread's word on the same member does not skip another one.
+    link.mark_refused('m1', '')
+    assert link.choose() == 'm2'
+    link.mark_refused('m2', 'm9')
+    assert link.choose() == 'm9'
+    link.mark_refused('m9', '')
+    assert link.choose() == 'm1'
+    link.mark_refused('m1', 'm1')
+    assert link.choose() == 'm2'
--- /dev/null
+++ b/shallotgate/membership/tests/test_session.py
@@ -0,0 +1,229 @@
+import itertools
+import threading
+import time
+
+import pytest
+
+from shallotgate.errors import CallTimeoutError
+from shallotgate.generated.messages import (
+    FetchState,
+    InstanceRecord,
+    Ownership,
+    Release,
+    StateUpdate,
+    Versions,
+)
+from shallotgate.generated.settings import Member, Settings
+from shallotgate.invariants import read_breaches
+from shallotgate.membership import EMPTY_VIEW, Session, TierView
+from shallotgate.membership._releases import ReleaseList
+from shallotgate.membership._updates import update_view
+from shallotgate.membership.tests.fakes import (
+    NoMailbox,
+    ScriptedLink,
+    grant,
+    make_update,
+    refuse,
+    wait_silently,
+)
+from shallotgate.metrics import Metrics
+from shallotgate.timers import TimerService
+
+SETTINGS = Settings(
+    instance='e1',
+    domain='a',
+    roles=['entry'],
+    peer_address='127.0.0.1:1',
+    operator_address='127.0.0.1:2',
+    control_members=[Member(instance='m1', address='127.0.0.1:3')],
+)
+
+
+@pytest.fixture
+def start_session():
+    sessions = []
+
+    def start(answer):
+        timers = TimerService()
+        timers.start()
+        link = ScriptedLink(answer)
+        session = Session(
+            NoMailbox(),
+            timers,
+            SETTINGS,
+            's1',
+            TierView(),
+            Metrics(),
+            link=link,
+        )
+        session.start()
+        sessions.append((session, timers))
+        return session, link
+
+    yield start
+    for session, timers in sessions:
+        session.stop()
+        timers.stop()
+
+
+def test_lease_waits_for_the_named_versions(start_session):
+    """Guards against work under a lease with an old catalogue."""
+    may_fetch = threading.Event()
+    named = Versions(catalogue=3)
+    fetching = threading.Event()
+
+    def answer(peer, message, timeout_s):
+        if isinstance(message, FetchState):
+            fetching.set()
+            may_fetch.wait(5)
+            return make_update(3)
+        return grant(message, named)
+
+    session, _ = start_session(answer)
+    assert fetching.wait(5)
+    assert not session.wait_until_ready(0.3)
+    assert session.lease.remaining_s() <= 0
+    may_fetch.set()
+    assert session.wait_until_ready(5)
+    assert session._view.current().versions.catalogue == 3
+
+
+def test_no_lease_without_the_state(start_session):
+    """Guards against a lease that counts though the state was not fetched."""
+    heartbeats = []
+
+    def answer(peer, message, timeout_s):
+        if isinstance(message, FetchState):
+            return CallTimeoutError('lost')
+        heartbeats.append(message)
+        return grant(message, Versions(ownership=1))
+
+    session, _ = start_session(answer)
+    while len(heartbeats) < 4:
+        time.sleep(0.01)
+    assert session.lease.remaining_s() <= 0
+
+
+def test_lease_counts_from_the_send_time(start_session):
+    """Guards against a lease lengthened by the time of the reply."""
+    replied = threading.Event()
+
+    def answer(peer, message, timeout_s):
+        if message.sequence == 1:
+            time.sleep(0.4)
+            replied.set()
+            return grant(message)
+        replied.wait(5)
+        return CallTimeoutError('lost')
+
+    session, _ = start_session(answer)
+    assert session.wait_until_ready(5)
+    assert session.lease.remaining_s() <= 3.6
+
+
+def test_silent_member_is_passed_over(start_session):
+    """Guards against waiting for a member that has gone."""
+    stopped = threading.Event()
+
+    def answer(peer, message, timeout_s):
+        if peer == 'm1':
+            return wait_silently(stopped, timeout_s)
+        return grant(message)
+
+    session, _ = start_session(answer)
+    started_at = time.monotonic()
+    assert session.wait_until_ready(5)
+    assert 0.4 < time.monotonic() - started_at < 1.5
+    stopped.set()
+
+
+def test_named_leader_is_asked_at_once(start_session):
+    """Guards against losing half a second for each election."""
+
+    def answer(peer, message, timeout_s):
+        return grant(message) if peer == 'm2' else refuse(message, 'm2')
+
+    session, link = start_session(answer)
+    assert session.wait_until_ready(0.4)
+    assert [peer for peer, _ in link.asked[:2]] == ['m1', 'm2']
+
+
+def test_heartbeats_vary_and_tell_readiness_at_once(start_session):
+    """Guards against instances in step and a readiness that lags."""
+
+    def answer(peer, message, timeout_s):
+        return grant(message)
+
+    session, link = start_session(answer)
+    assert session.wait_until_ready(5)
+    session.set_readiness('leaving')
+    deadline = time.monotonic() + 0.3
+    while link.asked[-1][1].readiness != 'leaving':
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+def test_slow_timer_callback_does_not_hold_heartbeats_up(start_session):
+    """Guards against heartbeats that depend on other work."""
+    times = []
+
+    def answer(peer, message, timeout_s):
+        times.append(time.monotonic())
+        return grant(message)
+
+    session, _ = start_session(answer)
+    blocked = threading.Event()
+    session._timers.after(0, lambda: blocked.wait(5))
+    while len(times) < 4:
+        time.sleep(0.01)
+    blocked.set()
+    gaps = [after - before for before, after in itertools.pairwise(times)]
+    assert max(gaps) < 0.8
+    # The jitter is drawn from a fixed seed.
+    assert max(gaps) - min(gaps) > 0.005
+
+
+def test_update_never_goes_back():
+    """Guards against an old update that undoes a newer one."""
+    before = read_breaches()
+    newer = update_view(EMPTY_VIEW, make_update(5))
+    assert update_view(newer, make_update(4)) == newer
+    record = InstanceRecord(
+        instance='e2',
+        start_id='s',
+        domain='a',
+        address='127.0.0.1:9',
+        roles=['entry'],
+        readiness='ready',
+    )
+    listed = update_view(
+        newer,
+        StateUpdate(versions=Versions(), term=1, instances=[record]),
+    )
+    assert listed.versions.catalogue == 5
+    assert set(listed.instances) == {'e2'}
+    assert read_breaches() == before
+
+
+def make_owned(epoch, state, instance='e1'):
+    owned = Ownership(
+        target='t',
+        instance=instance,
+        start_id='s1',
+        epoch=epoch,
+        state=state,
+    )
+    return {'t': owned}
+
+
+@pytest.mark.parametrize('released_epoch', [1, 2])
+def test_release_is_repeated_until_granted_on(released_epoch):
+    """Guards against a target without owner after a lost heartbeat."""
+    releases = ReleaseList()
+    release = Release(target='t', epoch=released_epoch)
+    releases.add(release)
+    for ownership in (make_owned(1, 'held'), make_owned(2, 'moving')):
+        assert releases.list_open(ownership) == (release,)
+        assert releases.list_open(ownership) == (release,)
+    assert not releases.list_open(make_owned(3, 'held', 'e2'))
+    assert not releases.list_open(make_owned(1, 'held'))
