--- a/shallotgate/edge/_wire.py
+++ b/shallotgate/edge/_wire.py
@@ -77,9 +77,10 @@
         )
         if findings:
             faulty = {finding.path.split('/')[0] for finding in findings}
+            # A missing key is a fault of some classes.
             valid = {
                 name: content
-                for name, content in fields.items()
+                for name, content in {'key': '', **fields}.items()
                 if name not in faulty
             }
             return ParsedRequest(None, valid, findings)
--- a/shallotgate/query/_check.py
+++ b/shallotgate/query/_check.py
@@ -1,5 +1,6 @@
 """Check of a caller's request against the catalogue."""
 
+import dataclasses
 import re
 from collections.abc import Iterator, Mapping
 from datetime import UTC, datetime
@@ -13,6 +14,7 @@
 
 _KEY_PATTERN = re.compile(r'(\d{8}T\d{6}Z)-[A-Za-z0-9._-]{8,64}')
 _KEY_TIME = '%Y%m%dT%H%M%SZ'
+_FIELD_NAMES = tuple(one.name for one in dataclasses.fields(QueryRequest))
 _CANONICAL = msgspec.json.Encoder(order='deterministic')
 # Reason of the finding on which the caller's rights, not its text, depend.
 FORBIDDEN = 'the caller may not use this class'
@@ -45,7 +47,9 @@
     request: QueryRequest,
 ) -> list[AnswerFinding]:
     """Return all faults of a request whose types are valid."""
-    return find_faults(catalogue, caller, request.__dict__)
+    # Not vars(): msgspec leaves fields with their default out of it.
+    fields = {name: getattr(request, name) for name in _FIELD_NAMES}
+    return find_faults(catalogue, caller, fields)
 
 
 def encode_content(request: QueryRequest) -> tuple[str, bytes]:
--- a/shallotgate/query/_driver.py
+++ b/shallotgate/query/_driver.py
@@ -75,7 +75,9 @@
             shard.barred | shard.passed,
             warm_only=False,
         )
-        if candidate is None:
+        if candidate is None and self.pick.is_spent(shard.barred):
+            self.close(shard)
+        elif candidate is None:
             self._handle_no_target(shard, route, now)
         elif shard.sends and not self._parts.retries.try_spend():
             self._pause(shard, now)
--- a/shallotgate/query/_pick.py
+++ b/shallotgate/query/_pick.py
@@ -28,6 +28,9 @@
     ) -> Candidate | None:
         """Return a target, None if none may get the attempt."""
 
+    def is_spent(self, barred: Collection[str]) -> bool:
+        """Return whether waiting gives no target either."""
+
 
 class FreePick:
     """The chooser's word: any replica may run proven content."""
@@ -48,6 +51,10 @@
         """Return the chooser's choice."""
         return self._chooser.choose(candidates, excluded, warm_only=warm_only)
 
+    def is_spent(self, barred: Collection[str]) -> bool:
+        """Other replicas may come back at any time."""
+        return False
+
 
 class ScreeningPick:
     """In the order of rendezvous hashing, at most two targets in all."""
@@ -67,7 +74,7 @@
         warm_only: bool,
     ) -> Candidate | None:
         """Return the first target of the order that is not excluded."""
-        if len(self._exchange.exposed) >= _MAX_EXPOSED:
+        if self.is_spent(excluded):
             return None
         allowed = {
             one.target: one
@@ -78,6 +85,10 @@
         ranked = rank_targets(self._digest, allowed)
         return allowed[ranked[0]] if ranked else None
 
+    def is_spent(self, barred: Collection[str]) -> bool:
+        """Return whether two targets may have run the content."""
+        return len(self._exchange.exposed) >= _MAX_EXPOSED
+
 
 class TrialPick:
     """The one target of a granted trial."""
@@ -98,3 +109,7 @@
         """Return the target of the trial; a trial is never hedged."""
         is_excluded = self._candidate.target in excluded
         return None if warm_only or is_excluded else self._candidate
+
+    def is_spent(self, barred: Collection[str]) -> bool:
+        """Return whether the target of the trial gave no usable reply."""
+        return self._candidate.target in barred
--- /dev/null
+++ b/shallotgate/query/tests/test_admission.py
@@ -0,0 +1,193 @@
+import random
+import threading
+import time
+from queue import SimpleQueue
+
+import pytest
+
+from shallotgate.generated.catalogue import Caller, ClassPolicy
+from shallotgate.query import Admission, RefusedError
+from shallotgate.query._limiter import LatencyLimiter
+from shallotgate.query.tests.tier import SEED, wait_until
+
+
+class FixedLimiter:
+    def __init__(self, limit):
+        self.limit = limit
+
+    def note(self, class_name, elapsed_ms, in_flight):
+        """Keep the limit."""
+
+
+def make_caller(**fields):
+    known = {'rate_per_s': 1e6, 'concurrent': 1000, **fields}
+    return Caller(owner='o', key_sha256='0' * 64, classes=[], **known)
+
+
+def make_policy(**fields):
+    known = {'mode': 'coverage', 'deadline_ms': 1000, **fields}
+    return ClassPolicy(owner='o', **known)
+
+
+def enter(admission, deadline_s=5.0, policy=None, name='c', caller=None):
+    admission.enter(
+        'teller',
+        caller or make_caller(),
+        name,
+        policy or make_policy(),
+        time.monotonic() + deadline_s,
+    )
+
+
+def test_waiting_queries_are_admitted_by_priority_then_deadline():
+    """Guards against urgent queries that wait behind patient ones."""
+    admission = Admission(FixedLimiter(1))
+    enter(admission)
+    order = SimpleQueue()
+
+    def ask(label, deadline_s, priority):
+        enter(admission, deadline_s, make_policy(priority=priority), label)
+        order.put(label)
+        admission.leave('teller', label, 0.001)
+
+    asked = [('late', 9, 5), ('soon', 3, 5), ('first', 9, 7), ('low', 1, 1)]
+    for number, fields in enumerate(asked, start=1):
+        threading.Thread(target=ask, args=fields, daemon=True).start()
+        wait_until(lambda: admission.count_queued() == number)  # noqa: B023
+    admission.leave('teller', 'c', 0.001)
+    admitted = [order.get(timeout=5) for _ in asked]
+    assert admitted == ['first', 'soon', 'late', 'low']
+    wait_until(lambda: admission.in_flight == 0)
+
+
+def test_queue_of_a_class_is_bounded():
+    """Guards against a queue that grows without bound."""
+    admission = Admission(FixedLimiter(1))
+    enter(admission)
+    with pytest.raises(RefusedError, match='queue_full'):
+        enter(admission, policy=make_policy(queue_limit=0))
+
+
+def test_query_that_would_wait_too_long_is_refused_at_once():
+    """Guards against work that starts when it can't be in time."""
+    admission = Admission(FixedLimiter(1))
+    enter(admission)
+    admission.leave('teller', 'c', 0.5)
+    enter(admission)
+    before = time.monotonic()
+    with pytest.raises(RefusedError, match='overload'):
+        enter(admission, deadline_s=0.6)
+    assert time.monotonic() - before < 0.3
+
+
+def test_waiting_ends_at_the_deadline():
+    """Guards against a caller that waits for ever."""
+    admission = Admission(FixedLimiter(1))
+    enter(admission)
+    with pytest.raises(RefusedError, match='queue_late'):
+        enter(admission, deadline_s=0.05)
+    assert admission.count_queued() == 0
+
+
+def test_caller_keeps_to_its_rate_and_concurrency():
+    """Guards against one caller that takes all of the capacity."""
+    admission = Admission()
+    slow = make_caller(rate_per_s=2)
+    enter(admission, caller=slow)
+    enter(admission, caller=slow)
+    with pytest.raises(RefusedError, match='caller_rate'):
+        enter(admission, caller=slow)
+    with pytest.raises(RefusedError, match='caller_concurrency'):
+        enter(admission, caller=make_caller(concurrent=2))
+    admission.leave('teller', 'c', 0.001)
+    enter(admission, caller=make_caller(concurrent=2))
+
+
+def test_refused_waiter_gives_its_place_back():
+    """Guards against a caller whose concurrency leaks with refusals."""
+    admission = Admission(FixedLimiter(1))
+    caller = make_caller(concurrent=2)
+    enter(admission, caller=caller)
+    for _ in range(5):
+        with pytest.raises(RefusedError, match='queue_late'):
+            enter(admission, deadline_s=0.01, caller=caller)
+    admission.leave('teller', 'c', 0.001)
+    enter(admission, caller=caller)
+    enter_later = threading.Thread(
+        target=enter, args=(admission,), kwargs={'caller': caller}
+    )
+    enter_later.start()
+    wait_until(lambda: admission.count_queued() == 1)
+    admission.leave('teller', 'c', 0.001)
+    enter_later.join(timeout=5)
+    assert admission.in_flight == 1
+
+
+class Clock:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def run_limiter(limiter, clock, latency_of, seconds):
+    """Let the limit be used up for a time of the clock."""
+    rng = random.Random(SEED)
+    for _ in range(int(seconds * 100)):
+        clock.now += 0.01
+        used = int(limiter.limit)
+        noise = rng.uniform(0.9, 1.1)
+        limiter.note('c', latency_of(used) * noise, used)
+
+
+def test_limit_follows_the_capacity():
+    """Guards against a limit that runs away or starves the targets."""
+    clock = Clock()
+    limiter = LatencyLimiter(clock)
+    # Forty queries at once run in 10 ms each; more of them queue.
+    run_limiter(limiter, clock, lambda used: 10 * max(1, used / 40), 120)
+    assert 40 <= limiter.limit <= 130
+    # The capacity falls to a quarter, and comes back.
+    run_limiter(limiter, clock, lambda used: 10 * max(1, used / 10), 60)
+    assert limiter.limit <= 40
+    run_limiter(limiter, clock, lambda used: 10 * max(1, used / 40), 60)
+    assert limiter.limit >= 40
+
+
+def test_goodput_at_twice_the_capacity():
+    """Guards against a collapse of useful throughput under overload.
+
+    Twenty servers take 10 ms for a query, so 2,000 queries per s is the
+    capacity; deadlines are 100 ms. The time is that of a simulated clock.
+    """
+    goodput = {load: simulate(load, random.Random(SEED)) for load in (1, 2)}
+    assert goodput[1] >= 0.8
+    assert goodput[2] >= 0.9 * goodput[1]
+
+
+def simulate(load, rng, servers=20, service_s=0.01, deadline_s=0.1):
+    """Return answers in time per capacity at a multiple of the capacity.
+
+    Queries are admitted or refused at arrival by the real limiter and the
+    same estimate as ``Admission``, without its queue.
+    """
+    clock = Clock()
+    limiter = LatencyLimiter(clock)
+    running = []
+    free_at = [0.0] * servers
+    in_time = 0
+    seconds = 20
+    arrivals = int(load * servers / service_s * seconds)
+    for _ in range(arrivals):
+        clock.now += rng.expovariate(load * servers / service_s)
+        for done in sorted(one for one in running if one[0] <= clock.now):
+            running.remove(done)
+            limiter.note('c', (done[0] - done[1]) * 1000, len(running) + 1)
+        if len(running) >= int(limiter.limit):
+            continue
+        server = min(range(servers), key=free_at.__getitem__)
+        started = max(free_at[server], clock.now)
+        free_at[server] = started + rng.uniform(0.5, 1.5) * service_s
+        running.append((free_at[server], clock.now))
+        in_time += free_at[server] - clock.now <= deadline_s
+    return in_time / (servers / service_s * clock.now)
--- a/shallotgate/query/tests/test_screening.py
+++ b/shallotgate/query/tests/test_screening.py
@@ -23,6 +23,7 @@
     the reports, both at once; replies of the owner always tell the loss.
     """
     lost = []
+    tier.control.visible = visible
 
     def crash(attempt):
         state = make_state(attempt.target, lost=True)
@@ -30,7 +31,7 @@
             reply = reply_with('not_run', 'connect')(attempt)
             return dataclasses.replace(reply, state=state)
         lost.append(attempt.target)
-        tier.control.suspect(attempt.digest, attempt.target, visible=visible)
+        tier.control.suspect(attempt.digest, attempt.target)
         if told:
             tier.report(attempt.target, lost=True)
         reply = reply_with('lost', 'reset')(attempt)
@@ -175,3 +176,13 @@
     again = tier.ask(**DEADLY)
     assert again.outcome == 'refused'
     assert len(lost) == 1
+
+
+def test_content_without_a_good_reply_reaches_at_most_two_targets():
+    """Guards against unproven content that is tried target by target."""
+    tier = Tier()
+    for name in tier.places:
+        tier.port.behaviours[name] = reply_with('failed', 'broken')
+    answer = tier.ask(class_name='coverage', deadline_ms=300)
+    assert answer.outcome == 'failed'
+    assert len(tier.port.sent) == 2
--- a/shallotgate/query/tests/tier.py
+++ b/shallotgate/query/tests/tier.py
@@ -212,6 +212,8 @@
         self.judgements = {}
         self.commands = []
         self.reachable = True
+        # Whether judgements reach the view.
+        self.visible = True
 
     def propose(self, command, timeout_s):
         if not self.reachable:
@@ -219,19 +221,19 @@
         self.commands.append(command)
         return getattr(self, f'_do_{type(command).__name__}')(command)
 
-    def suspect(self, digest, target, *, visible=True):
+    def suspect(self, digest, target):
         known = self.judgements.get(digest)
         targets = [*(known.targets if known else []), target]
         status = known.status if known else 'suspect'
         if status == 'trial':
             status = 'quarantined'
-        self._judge(digest, status, targets, visible)
+        self._judge(digest, status, targets)
 
-    def _judge(self, digest, status, targets, visible=True):
+    def _judge(self, digest, status, targets):
         self.judgements[digest] = Judgement(
             digest=digest, status=status, targets=targets, since=0
         )
-        if not visible:
+        if not self.visible:
             return
         view = self.view.current()
         versions = dataclasses.replace(
