Cut the cost of choosing a replica

Cause: the choice walked all replicas twice in the usual case. Change: the smoothed values are read once and a single near target with room is taken without a draw.

--- a/shallotgate/routing/_chooser.py
+++ b/shallotgate/routing/_chooser.py
@@ -154,6 +154,8 @@
             and estimates[index] <= bound
             and one.observation.has_room()
         ]
+        if len(near) == 1:
+            return pool[near[0]]
         numbers: Sequence[int] = near or range(len(pool))
         if len(numbers) > 2:
             numbers = self._rng.sample(numbers, 2)
@@ -163,6 +165,8 @@
         return pool[min(numbers, key=estimates.__getitem__)]
 
     def _keep_warm(self, pool: Sequence[Candidate]) -> Sequence[Candidate]:
+        if not any(one.observation.is_cold() for one in pool):
+            return pool
         kept = [one for one in pool if self._is_bearable(one)]
         return kept or pool
 
--- a/shallotgate/routing/_observations.py
+++ b/shallotgate/routing/_observations.py
@@ -12,6 +12,7 @@
 # A target that was avoided for this long is judged by its owner's report
 # again; otherwise one slow moment would keep it avoided.
 _OWN_LATENCY_VALID_S = 5.0
+_UNKNOWN_MS = 0.1
 # After a failure a target is less preferred for this long.
 _FAILURE_VALID_S = 2.0
 # Owners report every second; two missed reports make a state stale.
@@ -84,17 +85,17 @@
     def estimate_ms(self, now: float) -> float:
         """Return the expected time of an attempt in milliseconds."""
         state = self.state
-        own = self.latency_ms
-        is_own_valid = own and now - self.measured_at < _OWN_LATENCY_VALID_S
-        if state is None:
-            base = own
-            limit = 1
-        else:
-            base = own if is_own_valid else state.latency_ms
-            limit = max(state.limit, 1)
+        base = self.latency_ms
+        load = self.in_flight
+        limit = 1
+        if state is not None:
+            load = max(load, state.in_flight + state.queued + self.sent_since)
+            limit = state.limit or 1
+            if not base or now - self.measured_at > _OWN_LATENCY_VALID_S:
+                base = state.latency_ms
         # Above 0 so that load also counts where no latency is known.
-        expected = max(base, 0.1) * (1 + self.read_load() / limit)
-        if now - self.failed_at < _FAILURE_VALID_S:
+        expected = (base or _UNKNOWN_MS) * (1 + load / limit)
+        if self.failures and now - self.failed_at < _FAILURE_VALID_S:
             expected *= 1 + self.failures
         return expected
 
