Judge overload by the time on targets without queues

Cause: an entry that starts under overload took its first, queued latency for the normal one, and the limit settled far too high. Change: owners' service times, which have no queue in them, stand for the unloaded latency; without them the lowest mean still does.

--- a/shallotgate/query/_admission.py
+++ b/shallotgate/query/_admission.py
@@ -124,11 +124,13 @@
         caller_name: str,
         class_name: str,
         elapsed_s: float,
+        service_ms: float = 0,
         *,
         is_counted: bool = True,
     ) -> None:
         """End an admitted query.
 
+        ``service_ms`` is its time on targets without any wait, 0 if unknown.
         ``is_counted`` is false for one whose time says nothing of the load,
         say a refusal.
         """
@@ -141,6 +143,7 @@
                     class_name,
                     elapsed_s * _MS_PER_S,
                     self.in_flight,
+                    service_ms,
                 )
             self.in_flight -= 1
             self._admit_waiters()
--- a/shallotgate/query/_limiter.py
+++ b/shallotgate/query/_limiter.py
@@ -3,6 +3,7 @@
 import math
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 _START = 32.0
 _MIN = 8.0
@@ -19,60 +20,88 @@
 _RISE = 0.1
 
 
+# Added to the time on targets for hops and the entry's own work.
+_ALLOWANCE_MS = 5.0
+
+
+@dataclass(slots=True)
+class _ClassLatency:
+    """Latency of one class."""
+
+    # Sums over this step.
+    elapsed_ms: float = 0
+    service_ms: float = 0
+    number: int = 0
+    # Latency without queues, as far as known.
+    unloaded_ms: float = float('inf')
+
+    def read_ratio(self, *, is_quiet: bool) -> float:
+        """End the step; return the ratio of latency to the unloaded one."""
+        mean = max(self.elapsed_ms / self.number, 0.001)
+        service = self.service_ms / self.number
+        if service:
+            self.unloaded_ms = service + _ALLOWANCE_MS
+        elif mean < self.unloaded_ms:
+            self.unloaded_ms = mean
+        elif is_quiet:
+            self.unloaded_ms += _RISE * (mean - self.unloaded_ms)
+        self.elapsed_ms = 0
+        self.service_ms = 0
+        self.number = 0
+        return mean / self.unloaded_ms
+
+
 class LatencyLimiter:
     """Adapts a limit to the ratio of present to unloaded latency.
 
     Latency is compared within each class, since classes differ. The unloaded
-    latency of a class sinks at once to a lower mean and rises only on means
-    measured while at most half of the limit was used, so that a lasting
-    overload is not taken for the normal state.
+    latency is the time on targets that owners tell, which has no queue in
+    it. Where it is not told, the lowest mean stands for it; that rises only
+    on means measured while at most half of the limit was used, so that a
+    lasting overload is not taken for the normal state.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._stepped_at = clock()
-        # Sum and number of the latencies of this step by class.
-        self._samples: dict[str, tuple[float, int]] = {}
-        self._unloaded: dict[str, float] = {}
+        self._classes: dict[str, _ClassLatency] = {}
+        self._samples = 0
         self._peak = 0
         self.limit = _START
 
-    def note(self, class_name: str, elapsed_ms: float, in_flight: int) -> None:
+    def note(
+        self,
+        class_name: str,
+        elapsed_ms: float,
+        in_flight: int,
+        service_ms: float = 0,
+    ) -> None:
         """Add a finished query and the number that was in flight."""
-        total, number = self._samples.get(class_name, (0, 0))
-        self._samples[class_name] = (total + elapsed_ms, number + 1)
+        latency = self._classes.setdefault(class_name, _ClassLatency())
+        latency.elapsed_ms += elapsed_ms
+        latency.service_ms += service_ms
+        latency.number += 1
+        self._samples += 1
         self._peak = max(self._peak, in_flight)
         now = self._clock()
-        if now - self._stepped_at < _STEP_S:
-            return
-        if sum(pair[1] for pair in self._samples.values()) < _MIN_SAMPLES:
-            return
-        self._step()
-        self._stepped_at = now
-        self._samples.clear()
-        self._peak = 0
+        is_due = now - self._stepped_at >= _STEP_S
+        if is_due and self._samples >= _MIN_SAMPLES:
+            self._step()
+            self._stepped_at = now
+            self._samples = 0
+            self._peak = 0
 
     def _step(self) -> None:
-        ratio = self._read_ratio()
-        is_used = self._peak >= self.limit / 2
+        is_quiet = self._peak <= self.limit / 2
+        weighted: float = 0
+        for latency in self._classes.values():
+            number = latency.number
+            if number:
+                weighted += number * latency.read_ratio(is_quiet=is_quiet)
+        ratio = weighted / self._samples
         gradient = min(max(_TOLERANCE / ratio, _LOWEST_GRADIENT), 1)
         wanted = self.limit * gradient
-        if is_used:
+        if not is_quiet:
             wanted += math.sqrt(self.limit)
         changed = (1 - _STEP) * self.limit + _STEP * wanted
         self.limit = min(max(changed, _MIN), _MAX)
-
-    def _read_ratio(self) -> float:
-        weighted: float = 0
-        counted = 0
-        for class_name, (total, number) in self._samples.items():
-            mean = max(total / number, 0.001)
-            unloaded = self._unloaded.setdefault(class_name, mean)
-            if mean < unloaded:
-                unloaded = mean
-            elif self._peak <= self.limit / 2:
-                unloaded += _RISE * (mean - unloaded)
-            self._unloaded[class_name] = unloaded
-            weighted += number * mean / unloaded
-            counted += number
-        return weighted / counted
--- a/shallotgate/query/_run.py
+++ b/shallotgate/query/_run.py
@@ -28,6 +28,8 @@
     def __init__(self, parts: QueryParts, task: Task) -> None:
         self._parts = parts
         self._answered = 0
+        # Longest service time in the present phase in milliseconds.
+        self._phase_ms: float = 0
         self.task = task
         self.driver = ShardDriver(parts, task)
         self.exchange = self.driver.exchange
@@ -67,7 +69,9 @@
             shard.is_open = True
             if not self._is_over():
                 self.driver.resend(shard, now)
+        self._phase_ms = 0
         self._pump()
+        self.exchange.usage.service_ms += self._phase_ms
 
     def run_all(self) -> None:
         """Get answers for all shards that have none."""
@@ -135,6 +139,7 @@
             self._accept_mismatch(sent)
             return
         shard = sent.shard
+        self._phase_ms = max(self._phase_ms, reply.service_ms)
         shard.matches = matches
         shard.truncated = reply.truncated
         shard.covered = reply.covered
--- a/shallotgate/query/_service.py
+++ b/shallotgate/query/_service.py
@@ -145,32 +145,32 @@
 
     def _answer_admitted(self, task: Task) -> Answer:
         admitted_at = time.monotonic()
-        answer = None
+        usage = Usage()
+        is_counted = False
         try:
-            answer = self._run(task)
+            answer, usage = self._run(task)
+            is_counted = answer.outcome not in _UNMEASURED
         finally:
-            is_counted = answer is not None and (
-                answer.outcome not in _UNMEASURED
-            )
             self._admission.leave(
                 task.caller,
                 task.request.class_name,
                 time.monotonic() - admitted_at,
+                usage.service_ms,
                 is_counted=is_counted,
             )
+        self._count_usage(task, usage)
         return answer
 
-    def _run(self, task: Task) -> Answer:
+    def _run(self, task: Task) -> tuple[Answer, Usage]:
         if self._parts.lease.remaining_s() <= 0:
             # It may have ended while the query was queued.
-            return task.make_answer('refused', 'no_lease')
+            return task.make_answer('refused', 'no_lease'), Usage()
         if task.policy.once_only:
-            return self._run_once_only(task)
+            once = OnceRun(self._parts, task)
+            return once.answer(), once.exchange.usage
         run = QueryRun(self._parts, task)
-        try:
-            return self._run_fan_out(run, Screener(self._parts, run))
-        finally:
-            self._count_usage(task, run.exchange.usage)
+        answer = self._run_fan_out(run, Screener(self._parts, run))
+        return answer, run.exchange.usage
 
     def _run_fan_out(self, run: QueryRun, screener: Screener) -> Answer:
         while True:
@@ -189,13 +189,6 @@
                 return run.finish()
             run.restart()
 
-    def _run_once_only(self, task: Task) -> Answer:
-        once = OnceRun(self._parts, task)
-        try:
-            return once.answer()
-        finally:
-            self._count_usage(task, once.exchange.usage)
-
     def _count_usage(self, task: Task, usage: Usage) -> None:
         class_name = task.request.class_name
         counts = (
--- a/shallotgate/query/_task.py
+++ b/shallotgate/query/_task.py
@@ -128,6 +128,9 @@
     retries: int = 0
     discarded: int = 0
     restarts: int = 0
+    # Time on targets, without any wait, of the slowest attempt of each phase;
+    # 0 if no owner told it.
+    service_ms: float = 0
     # Targets lost while they ran an attempt of this query.
     lost_targets: list[str] = field(default_factory=list)
 
--- a/shallotgate/query/tests/test_admission.py
+++ b/shallotgate/query/tests/test_admission.py
@@ -15,7 +15,7 @@
     def __init__(self, limit):
         self.limit = limit
 
-    def note(self, class_name, elapsed_ms, in_flight):
+    def note(self, class_name, elapsed_ms, in_flight, service_ms=0):
         """Keep the limit."""
 
 
