--- a/shallotgate/query/_exchange.py
+++ b/shallotgate/query/_exchange.py
@@ -102,6 +102,10 @@
         self._parts.port.submit(candidate.owner, attempt, self._sink)
         return sent
 
+    def has_reply(self) -> bool:
+        """Return whether a reply waits to be received."""
+        return not self._sink.empty()
+
     def receive(self, timeout_s: float) -> tuple[Sent, AttemptReply] | None:
         """Wait for a reply to an attempt that still counts."""
         try:
--- a/shallotgate/query/_run.py
+++ b/shallotgate/query/_run.py
@@ -111,7 +111,9 @@
             and not self._is_over()
         ):
             now = time.monotonic()
-            self.driver.run_timers(now)
+            if not self.exchange.has_reply():
+                # A reply that waits for a busy thread needs no hedge.
+                self.driver.run_timers(now)
             received = self.exchange.receive(self._next_wake() - now)
             if received is not None:
                 self._accept(*received)
--- a/shallotgate/routing/_chooser.py
+++ b/shallotgate/routing/_chooser.py
@@ -15,7 +15,8 @@
 _ROUTE_VALID_S = 1.0
 # Quarantine is in effect everywhere 5 s after a target was lost.
 _LOST_RECENTLY_S = 5.0
-# Share of choices in which a cold target with room is considered at all.
+# Share of choices in which a cold target with room is considered while a
+# warm one has room too. Without any, a cold target would never warm up.
 _COLD_SHARE = 0.2
 # A near target slower than the best one by this factor is not preferred.
 _NEAR_SLOWNESS = 2.0
@@ -167,17 +168,11 @@
     def _keep_warm(self, pool: Sequence[Candidate]) -> Sequence[Candidate]:
         if not any(one.observation.is_cold() for one in pool):
             return pool
-        kept = [one for one in pool if self._is_bearable(one)]
+        is_tight = not any(map(_is_free_and_warm, pool))
+        is_drawn = is_tight or self._rng.random() < _COLD_SHARE
+        kept = [one for one in pool if _is_bearable(one, is_drawn)]
         return kept or pool
 
-    def _is_bearable(self, candidate: Candidate) -> bool:
-        observation = candidate.observation
-        if not observation.is_cold():
-            return True
-        if observation.in_flight or not observation.has_room():
-            return False
-        return self._rng.random() < _COLD_SHARE
-
     def _build_route(
         self,
         view: View,
@@ -249,6 +244,13 @@
         )
 
 
+def _is_bearable(candidate: Candidate, is_drawn: bool) -> bool:
+    observation = candidate.observation
+    if not observation.is_cold():
+        return True
+    return is_drawn and not observation.in_flight and observation.has_room()
+
+
 def _is_free_and_warm(candidate: Candidate) -> bool:
     observation = candidate.observation
     return not observation.is_cold() and observation.has_room()
--- a/shallotgate/routing/_index.py
+++ b/shallotgate/routing/_index.py
@@ -28,9 +28,13 @@
         return sum(1 for targets in self.holders if targets)
 
 
+# Index version, number of partitions and those that are held.
+_Content = tuple[tuple[int, int, tuple[int, ...]], ...]
+
+
 @dataclass
 class _Holding:
-    versions: Sequence[TargetVersion]
+    content: _Content
     heard_at: float
 
 
@@ -55,14 +59,19 @@
     ) -> None:
         """Take over what a target holds."""
         now = self._clock()
+        # Lists and tuples of the same numbers must compare as equal.
+        content = tuple(
+            (one.index_version, one.partitions, tuple(one.held))
+            for one in versions
+        )
         holdings = self._groups.get(group)
         known = holdings.get(target) if holdings else None
-        if known is not None and known.versions == versions:
+        if known is not None and known.content == content:
             known.heard_at = now
             return
         with self._lock:
             group_holdings = self._groups.setdefault(group, {})
-            group_holdings[target] = _Holding(tuple(versions), now)
+            group_holdings[target] = _Holding(content, now)
             self.revision += 1
 
     def drop_missing(self) -> None:
@@ -133,14 +142,14 @@
     versions: dict[int, _Holders] = {}
     for target, holding in holdings.items():
         is_usable = usable is None or target in usable
-        for version in holding.versions:
-            if version.partitions < 1:
+        for index_version, partitions, held in holding.content:
+            if partitions < 1:
                 continue
-            holders = versions.setdefault(version.index_version, [])
-            missing = version.partitions - len(holders)
+            holders = versions.setdefault(index_version, [])
+            missing = partitions - len(holders)
             holders.extend([] for _ in range(missing))
             if is_usable:
-                _add_holder(holders, target, version.held)
+                _add_holder(holders, target, held)
     return versions
 
 
--- a/shallotgate/routing/_mailbox_port.py
+++ b/shallotgate/routing/_mailbox_port.py
@@ -1,7 +1,7 @@
 """Attempts to local and remote owners."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -28,6 +28,8 @@
 # much longer so that their word, which says more, comes first.
 _GRACE_S = 0.2
 _SWEEP_S = 0.1
+# As often as other owners report.
+_LOCAL_REPORT_S = 1.0
 # Owners report every second to those that use them.
 _SILENCE_S = 2.0
 
@@ -45,6 +47,9 @@
     def cancel(self, attempt_id: str) -> None:
         """Give up an attempt."""
 
+    def states(self) -> Sequence[TargetState]:
+        """Return the states of the owned targets."""
+
 
 @dataclass(slots=True)
 class _Pending:
@@ -95,7 +100,7 @@
         self._mailbox.subscribe(OwnerReport, self._accept_report)
         self._view.subscribe(self._accept_view)
         timers.every(_SWEEP_S, self.sweep)
-        timers.every(1, self._index_map.drop_missing)
+        timers.every(_LOCAL_REPORT_S, self._refresh)
 
     def submit(self, owner: str, attempt: Attempt, sink: ReplySink) -> None:
         """Hand an attempt to the owner instance of its target."""
@@ -117,7 +122,7 @@
         self._pending[attempt.attempt_id] = pending
         self._observations.note_sent(attempt.target)
         if is_local:
-            self._local.submit(attempt, self._accept_local)
+            self._local.submit(attempt, self._accept)
             return
         try:
             self._mailbox.send(owner, attempt)
@@ -154,7 +159,7 @@
         states: Iterable[TargetState],
         age_s: float = 0,
     ) -> None:
-        """Take over states, also those of the targets owned here."""
+        """Take over states of targets as their owners tell them."""
         for state in states:
             if not self._observations.accept_state(state, age_s):
                 continue
@@ -179,6 +184,10 @@
         """Return the number of attempts without a reply."""
         return len(self._pending)
 
+    def _refresh(self) -> None:
+        self.accept_states(self._local.states())
+        self._index_map.drop_missing()
+
     def _is_silent(self, pending: _Pending, now: float) -> bool:
         if pending.owner == self._mailbox.instance:
             return False
@@ -208,13 +217,10 @@
             return
         self._accept(reply, delivery.age_s)
 
-    def _accept_local(self, reply: AttemptReply) -> None:
-        self._accept(reply, 0)
-
     def _accept_report(self, delivery: Delivery) -> None:
         self.accept_states(delivery.message.states, delivery.age_s)
 
-    def _accept(self, reply: AttemptReply, age_s: float) -> None:
+    def _accept(self, reply: AttemptReply, age_s: float = 0) -> None:
         if reply.state is not None:
             self.accept_states((reply.state,), age_s)
         # pop() is atomic, so that only one of two replies is handed on.
--- a/shallotgate/routing/_observations.py
+++ b/shallotgate/routing/_observations.py
@@ -157,15 +157,14 @@
             record.measured_at = now
 
     def accept_state(self, state: TargetState, age_s: float = 0) -> bool:
-        """Take over an owner's report; False if a newer one is known."""
+        """Take over an owner's report; False if it is of a former owner."""
         record = self.observe(state.target)
         made_at = self._clock() - age_s
         with self._lock:
             before = record.state
-            if before is not None and (
-                state.epoch < before.epoch
-                or (state.epoch == before.epoch and made_at < record.state_at)
-            ):
+            # One owner's messages arrive in order; only a former owner's
+            # are late.
+            if before is not None and state.epoch < before.epoch:
                 return False
             was_lost = before is not None and before.lost
             if state.lost and not was_lost:
--- a/shallotgate/routing/tests/test_mailbox_port.py
+++ b/shallotgate/routing/tests/test_mailbox_port.py
@@ -47,6 +47,10 @@
 class Local:
     def __init__(self):
         self.cancelled = []
+        self.reported = []
+
+    def states(self):
+        return self.reported
 
     def submit(self, attempt, on_reply):
         on_reply(AttemptReply(attempt_id=attempt.attempt_id, status='ok'))
@@ -284,3 +288,10 @@
     assert isinstance(message, SubscribeReports)
     pair.owner.send('entry', OwnerReport(states=[make_state('t')]))
     wait_until(pair.subscriber.is_informed)
+
+
+def test_own_targets_are_reported_without_messages(pair):
+    """Guards against an entry that never learns of its own targets."""
+    pair.local.reported = [make_state('t')]
+    wait_until(lambda: pair.observations.observe('t').state is not None)
+    assert pair.subscriber.is_informed()
