Add the two example deployments

The leader's answers reach operators as JSON values, a call that the leader could not carry out as 422, and progress counts instances with a lease. Stand-ins get their index version. ManagedProcess tells its process id.

--- a/shallotgate/cli/_changes.py
+++ b/shallotgate/cli/_changes.py
@@ -115,7 +115,7 @@
 
 
 def _read_applied(session: Session) -> list[int]:
-    """Return the catalogue version of each instance, as the leader knows."""
+    """Return the catalogue version of each instance with a lease."""
     try:
         reply = session.read('/v1/status')
     except ServerUnreachableError:
@@ -125,4 +125,5 @@
     return [
         record.get('versions', {}).get('catalogue', 0)
         for record in reply.content.get('instances', ())
+        if record.get('has_lease', True)
     ]
--- a/shallotgate/operators/_application.py
+++ b/shallotgate/operators/_application.py
@@ -12,6 +12,7 @@
     PeerUnreachableError,
 )
 from shallotgate.http import Request, Response, make_json_response
+from shallotgate.membership import LeaderCallError
 from shallotgate.operators._input import list_findings
 from shallotgate.operators._pages import ReadPages
 from shallotgate.operators._ports import OperatorPorts
@@ -19,7 +20,7 @@
 from shallotgate.settings import OperatorKey, find_operator
 
 _NOT_TAKEN = (NoLeaderError, NotLeaderError, PeerUnreachableError)
-_UNKNOWN = (CommitUnknownError, CallTimeoutError)
+_NO_ANSWER = (*_NOT_TAKEN, CommitUnknownError, CallTimeoutError)
 _RESEND = (
     'the outcome is unknown; resend with the same change id, or read the '
     'status before a call without one is repeated'
@@ -108,12 +109,14 @@
             400,
             {'outcome': 'refused', 'reason': 'invalid', 'findings': findings},
         )
-    except _NOT_TAKEN as error:
-        return _refuse(503, 'no_leader', f'not taken: {error}')
-    except _UNKNOWN as error:
+    except LeaderCallError as error:
+        return _refuse(422, 'failed', str(error))
+    except _NO_ANSWER as error:
+        if isinstance(error, _NOT_TAKEN):
+            return _refuse(503, 'no_leader', f'not taken: {error}')
         content = {
             'outcome': 'unknown',
-            'reason': f'{error}',
+            'reason': str(error),
             'advice': _RESEND,
         }
         return make_json_response(504, content)
--- a/shallotgate/operators/_pages.py
+++ b/shallotgate/operators/_pages.py
@@ -5,12 +5,13 @@
 
 from shallotgate.http import Request, Response, make_json_response
 from shallotgate.invariants import read_breaches
+from shallotgate.membership import Operation
 from shallotgate.operators._ports import OperatorPorts
 from shallotgate.settings import OperatorKey
 
 _CALL_TIMEOUT_S = 5
 _METRICS_TYPE = 'text/plain; version=0.0.4'
-_LEADER_PAGES: Mapping[str, str] = MappingProxyType(
+_LEADER_PAGES: Mapping[str, Operation] = MappingProxyType(
     {
         '/v1/control/members': 'members',
         '/v1/history': 'history',
@@ -89,9 +90,9 @@
         operator: OperatorKey,
     ) -> Response:
         """Return what the control leader answers."""
-        body = self._ports.leader.call_leader(
+        content = self._ports.leader.call_leader(
             _LEADER_PAGES[request.path],
             dict(request.parameters),
             _CALL_TIMEOUT_S,
         )
-        return Response(200, body)
+        return make_json_response(200, content)
--- a/shallotgate/operators/_ports.py
+++ b/shallotgate/operators/_ports.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from shallotgate.generated.messages import TargetState
-from shallotgate.membership import CommandPort, TierView
+from shallotgate.membership import CommandPort, Operation, TierView
 from shallotgate.metrics import Metrics
 from shallotgate.settings import OperatorKey
 
@@ -15,17 +15,15 @@
 
     def call_leader(
         self,
-        operation: str,
+        operation: Operation,
         argument: object,
         timeout_s: float,
-    ) -> bytes:
-        """Return the leader's answer as JSON.
-
-        ``operation`` is one of status, history, quarantine, members and
-        replace_member; ``argument`` can be encoded as JSON. Raises
-        ``NoLeaderError`` if no leader took the call, ``CallTimeoutError`` or
-        ``CommitUnknownError`` if one may have, and ``FindingsError`` if the
-        leader refused the argument.
+    ) -> object:
+        """Return the leader's answer; it and the argument are JSON values.
+
+        Raises ``NoLeaderError`` if no leader took the call,
+        ``CallTimeoutError`` or ``CommitUnknownError`` if one may have, and
+        ``LeaderCallError`` if the leader could not do it.
         """
 
 
--- a/shallotgate/operators/_writes.py
+++ b/shallotgate/operators/_writes.py
@@ -108,12 +108,12 @@
                     'findings': [finding],
                 },
             )
-        body = self._ports.leader.call_leader(
+        answer = self._ports.leader.call_leader(
             'replace_member',
             content,
             _REPLACE_TIMEOUT_S,
         )
-        return Response(200, body)
+        return make_json_response(200, answer)
 
 
 def _read_verdict(outcome: object) -> Verdict:
--- a/shallotgate/operators/tests/test_operators.py
+++ b/shallotgate/operators/tests/test_operators.py
@@ -26,7 +26,7 @@
     Versions,
 )
 from shallotgate.http import Request, Response
-from shallotgate.membership import TierView, View, list_places
+from shallotgate.membership import LeaderCallError, TierView, View, list_places
 from shallotgate.metrics import Metrics
 from shallotgate.operators import OperatorApplication, OperatorPorts
 from shallotgate.settings import OperatorKey
@@ -73,7 +73,7 @@
 
     def call_leader(
         self, operation: str, argument: object, timeout_s: float
-    ) -> bytes:
+    ) -> object:
         self.calls.append((operation, argument))
         return self._give()
 
@@ -180,6 +180,7 @@
         (NoLeaderError('none'), 503, 'refused'),
         (CommitUnknownError('cut'), 504, 'unknown'),
         (CallTimeoutError('late'), 504, 'unknown'),
+        (LeaderCallError('no such member'), 422, 'refused'),
         (FindingsError([Finding('x', 'y', 'z')]), 400, 'refused'),
     ],
 )
@@ -232,7 +233,7 @@
 
 def test_leader_calls(send, shared):
     """Guards against calls with another operation or without argument."""
-    shared.answer = b'[]'
+    shared.answer = []
     for page in ('history', 'quarantine', 'status', 'control/members'):
         response = send('GET', f'/v1/{page}', parameters={'limit': '2'})
         assert response.body == b'[]'
--- a/testkit/bench/_load.py
+++ b/testkit/bench/_load.py
@@ -131,12 +131,14 @@
         connection: http.client.HTTPConnection,
         arrival: _Arrival,
     ) -> dict[str, object]:
-        body = json.dumps({
-            'group': GROUP,
-            'class_name': self._scenario.class_name,
-            'query': {'cheque': arrival.content},
-            'limit': 10,
-        })
+        body = json.dumps(
+            {
+                'group': GROUP,
+                'class_name': self._scenario.class_name,
+                'query': {'cheque': arrival.content},
+                'limit': 10,
+            }
+        )
         connection.request('POST', '/v1/query', body, self._headers)
         answer: dict[str, object] = json.loads(connection.getresponse().read())
         return answer
--- a/testkit/bench/_run.py
+++ b/testkit/bench/_run.py
@@ -96,9 +96,7 @@
 
 
 def _list_entries(tier: Tier) -> list[str]:
-    return [
-        tier.layout.addresses[name].caller for name in tier.list_running()
-    ]
+    return [tier.layout.addresses[name].caller for name in tier.list_running()]
 
 
 def _read_cpu_s(tier: Tier) -> float:
--- /dev/null
+++ b/testkit/deployments/__init__.py
@@ -0,0 +1,6 @@
+"""The deployments of the two present users, whole and reduced."""
+
+from testkit.deployments._clearing import CLEARING, make_small_clearing
+from testkit.deployments._packhouse import PACKHOUSE
+
+__all__ = ('CLEARING', 'PACKHOUSE', 'make_small_clearing')
--- a/testkit/runner/_layout.py
+++ b/testkit/runner/_layout.py
@@ -113,6 +113,7 @@
         service: ServicePlan,
         target: TargetPlan,
     ) -> tuple[str, ...]:
+        held = ','.join(map(str, service.held))
         options = {
             'name': target.name,
             'service': service.name,
@@ -122,6 +123,13 @@
             'connections': service.connections,
             'connect-ms': service.connect_ms,
             'service-ms': service.service_ms,
+            'cold-slots': service.cold_slots,
+            'versions': f'1:{service.partitions}:{held}',
         }
         pairs = ((f'--{name}', str(text)) for name, text in options.items())
-        return ('-m', 'testkit.standin', *itertools.chain(*pairs))
+        return (
+            '-m',
+            'testkit.standin',
+            '--crash-on-content',
+            *itertools.chain(*pairs),
+        )
--- a/testkit/runner/_process.py
+++ b/testkit/runner/_process.py
@@ -40,6 +40,13 @@
         self._log_path = log_path
         self._process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the running process."""
+        if self._process is None:
+            raise ProcessLookupError(f'{self.name} does not run')
+        return self._process.pid
+
     def start(self) -> None:
         """Start the process; it appends to its log file."""
         with self._log_path.open('ab') as log:
