Add soak and demo

Cause: guarantees under failures must be checked from outside, on real processes, with faults that can be repeated. Change: testkit.soak runs a reduced clearing deployment under seeded load and faults and compares answers, stand-ins' own counters, verdicts and versions at the end; testkit.demo shows a query, a failure domain out and a graceful stop. Operators' pages accept the leader's answer as a JSON value or as bytes. Tier takes settings for all instances. Result: 8 tests show that the checks find each kind of broken guarantee.

--- a/shallotgate/operators/_pages.py
+++ b/shallotgate/operators/_pages.py
@@ -95,4 +95,11 @@
             dict(request.parameters),
             _CALL_TIMEOUT_S,
         )
-        return make_json_response(200, content)
+        return render_answer(content)
+
+
+def render_answer(content: object) -> Response:
+    """Return the leader's answer, a JSON value or bytes of JSON."""
+    if isinstance(content, bytes):
+        return Response(200, content)
+    return make_json_response(200, content)
--- a/shallotgate/operators/_ports.py
+++ b/shallotgate/operators/_ports.py
@@ -19,8 +19,9 @@
         argument: object,
         timeout_s: float,
     ) -> object:
-        """Return the leader's answer; it and the argument are JSON values.
+        """Return the leader's answer: a JSON value, or bytes of JSON.
 
+        The argument is a JSON value.
         Raises ``NoLeaderError`` if no leader took the call,
         ``CallTimeoutError`` or ``CommitUnknownError`` if one may have, and
         ``LeaderCallError`` if the leader could not do it.
--- a/shallotgate/operators/_writes.py
+++ b/shallotgate/operators/_writes.py
@@ -14,6 +14,7 @@
     make_object_schema,
     parse_body,
 )
+from shallotgate.operators._pages import render_answer
 from shallotgate.operators._ports import OperatorPorts
 from shallotgate.settings import OperatorKey
 
@@ -113,7 +114,7 @@
             content,
             _REPLACE_TIMEOUT_S,
         )
-        return make_json_response(200, answer)
+        return render_answer(answer)
 
 
 def _read_verdict(outcome: object) -> Verdict:
--- a/shallotgate/operators/tests/test_operators.py
+++ b/shallotgate/operators/tests/test_operators.py
@@ -238,6 +238,9 @@
         response = send('GET', f'/v1/{page}', parameters={'limit': '2'})
         assert response.body == b'[]'
         assert shared.calls.pop() == (page.split('/')[-1], {'limit': '2'})
+    shared.answer = b'{"leader": "a-1"}'
+    assert read(send('GET', '/v1/status')) == {'leader': 'a-1'}
+    shared.calls.clear()
     replace = {'instance': 'a-1'}
     path = '/v1/control/replace'
     assert send('POST', path, replace, 'token-of-bo-00001').status == 403
--- /dev/null
+++ b/testkit/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration on a reduced clearing deployment."""
--- a/testkit/runner/_layout.py
+++ b/testkit/runner/_layout.py
@@ -27,12 +27,13 @@
     ) -> None:
         self.deployment = deployment
         self.addresses: dict[str, Addresses] = {}
+        # Address on which each target listens.
+        self.listen_addresses: dict[str, str] = {}
         # Address that entries use for each target.
         self.target_routes: dict[str, str] = {}
         self._folder = folder
         self._proxy = proxy
         self._proxied = proxied
-        self._ports: dict[str, str] = {}
         self._place_instances()
         for _, target in deployment.list_targets():
             self._place_target(target.name)
@@ -96,7 +97,7 @@
 
     def _place_target(self, name: str) -> None:
         address = choose_address()
-        self._ports[name] = address.rpartition(':')[2]
+        self.listen_addresses[name] = address
         if self._proxied:
             address = self._proxy.add_link(f'>{name}', address)
         self.target_routes[name] = address
@@ -118,7 +119,7 @@
             'name': target.name,
             'service': service.name,
             'domain': target.domain,
-            'port': self._ports[target.name],
+            'port': self.listen_addresses[target.name].rpartition(':')[2],
             'slots': service.slots,
             'connections': service.connections,
             'connect-ms': service.connect_ms,
--- a/testkit/runner/_tier.py
+++ b/testkit/runner/_tier.py
@@ -1,10 +1,11 @@
 """All processes of a deployment."""
 
+import dataclasses
 import shutil
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
-from types import TracebackType
+from types import MappingProxyType, TracebackType
 from typing import Any, Self
 
 from shallotgate.invariants import BREACH_EXIT_STATUS
@@ -17,6 +18,7 @@
 
 _START_LIMIT_S = 60
 _STOP_LIMIT_S = 30
+_NO_SETTINGS: Mapping[str, Any] = MappingProxyType({})
 _BREACH_MESSAGE = 'Invariant broken.'
 
 
@@ -28,8 +30,15 @@
     """
 
     def __init__(
-        self, deployment: Deployment, *, proxied: bool = False
+        self,
+        deployment: Deployment,
+        *,
+        proxied: bool = False,
+        settings: Mapping[str, Any] = _NO_SETTINGS,
     ) -> None:
+        """Write all files; ``settings`` go to all instances."""
+        shared = {**deployment.settings, **settings}
+        deployment = dataclasses.replace(deployment, settings=shared)
         self.deployment = deployment
         self.folder = Path(tempfile.mkdtemp(prefix='shallotgate-'))
         self.proxy = FaultProxy()
--- /dev/null
+++ b/testkit/soak/__init__.py
@@ -0,0 +1,6 @@
+"""Seeded load and faults on real processes, checked from outside."""
+
+from testkit.soak._checks import check_exchanges, check_versions
+from testkit.soak._records import Exchange, Journal
+
+__all__ = ('Exchange', 'Journal', 'check_exchanges', 'check_versions')
--- /dev/null
+++ b/testkit/soak/_run.py
@@ -0,0 +1,160 @@
+"""One run: load, faults and the checks at its end."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any
+
+from testkit.deployments import make_small_clearing
+from testkit.runner import Tier, WaitTimeoutError, wait_until
+from testkit.soak._checks import (
+    check_changes,
+    check_exchanges,
+    check_keys,
+    check_versions,
+)
+from testkit.soak._faults import FaultRunner
+from testkit.soak._load import Load
+from testkit.soak._records import Journal, list_quantiles_ms
+from testkit.soak._scene import Scene
+from testkit.soak._targets import StandIns
+
+_SETTLE_LIMIT_S = 90
+_POLL_S = 0.2
+_SECONDS_PER_MINUTE = 60
+_MOST_FINDINGS = 40
+
+
+class SoakRun:
+    """A reduced clearing deployment under load and faults."""
+
+    def __init__(self, seed: int, minutes: float) -> None:
+        self._seed = seed
+        self._seconds = minutes * _SECONDS_PER_MINUTE
+        self.journal = Journal()
+        deployment = make_small_clearing()
+        settings = {'abort_on_breach': True, 'seed': seed}
+        self.tier = Tier(deployment, proxied=True, settings=settings)
+        self._load = Load(self.tier, self.journal, seed)
+        self._stand_ins = StandIns(self.tier, self.journal)
+        self._faults = FaultRunner(
+            Scene(self.tier, self.journal, self._load, self._stand_ins),
+            random.Random(f'{seed}-faults'),
+        )
+        self._ended = threading.Event()
+
+    def run(self) -> dict[str, Any]:
+        """Run and return the summary."""
+        self.tier.start()
+        self._wait_complete()
+        watchers = [
+            threading.Thread(target=self._watch, args=(work,), daemon=True)
+            for work in (self._note_versions, self._stand_ins.revive)
+        ]
+        for watcher in watchers:
+            watcher.start()
+        self._load.start()
+        self._faults.run(self._seconds)
+        self._load.stop()
+        findings = self._finish()
+        self._ended.set()
+        for watcher in watchers:
+            watcher.join()
+        return self._summarize(findings)
+
+    def _watch(self, work: Callable[[], None]) -> None:
+        while not self._ended.wait(_POLL_S):
+            try:
+                work()
+            except Exception as error:
+                self.journal.findings.append(f'test kit: {error!r}')
+
+    def _note_versions(self) -> None:
+        for name in self.tier.instances:
+            version = self.tier.clients.read_version(name)
+            if version > 0:
+                seen = self.journal.versions.setdefault(name, [])
+                if not seen or seen[-1] != version:
+                    seen.append(version)
+
+    def _finish(self) -> list[str]:
+        """Heal, settle, stop everything gracefully and check."""
+        findings: list[str] = []
+        self.tier.proxy.heal()
+        try:
+            self._settle()
+        except WaitTimeoutError as error:
+            findings.append(f'not healed: {error}')
+        else:
+            findings.extend(self._check_final())
+        self._ended.set()
+        findings.extend(
+            f'{name}: exit status {status} at the end'
+            for name, status in self.tier.stop_all().items()
+            if status
+        )
+        self._stand_ins.collect_all()
+        findings.extend(check_exchanges(self.journal))
+        findings.extend(check_keys(self.journal))
+        findings.extend(check_versions(self.journal))
+        return findings
+
+    def _settle(self) -> None:
+        self.tier.wait_ready(*self.tier.instances, limit_s=_SETTLE_LIMIT_S)
+        self._wait_complete()
+        wait_until(self._is_settled, _SETTLE_LIMIT_S, 'verdicts on all changes')
+
+    def _is_settled(self) -> bool:
+        self._load.settle_changes()
+        return all(change.verdict for change in self.journal.changes)
+
+    def _wait_complete(self) -> None:
+        """Wait until each entry gives a complete answer."""
+        request = {
+            'group': 'tracedesk',
+            'class_name': 'teller',
+            'query': {'item': -1},
+            'limit': 1000,
+        }
+        for name in self.tier.instances:
+            wait_until(
+                partial(self._is_complete, name, request),
+                _SETTLE_LIMIT_S,
+                f'complete answer of {name}',
+            )
+
+    def _is_complete(self, entry: str, request: dict[str, Any]) -> bool:
+        answer = self._load.send(entry, 'tellers', request)
+        return bool(answer and answer.get('outcome') == 'complete')
+
+    def _check_final(self) -> Iterator[str]:
+        first, *others = self.tier.instances
+        catalogue = self.tier.clients.read(first, '/v1/catalogue')
+        history = self.tier.clients.read(first, '/v1/history')
+        yield from check_changes(self.journal.changes, catalogue, history)
+        for name in others:
+            if self.tier.clients.read(name, '/v1/catalogue') != catalogue:
+                yield f'{name} has another catalogue than {first}'
+
+    def _summarize(self, findings: list[str]) -> dict[str, Any]:
+        journal = self.journal
+        verdicts = [
+            change.verdict['outcome'] if change.verdict else 'unknown'
+            for change in journal.changes
+        ]
+        return {
+            'seed': self._seed,
+            'seconds': round(time.monotonic() - journal.started, 1),
+            'exchanges': journal.count_outcomes(),
+            'complete_ms': list_quantiles_ms(journal.exchanges),
+            'changes': {
+                verdict: verdicts.count(verdict) for verdict in set(verdicts)
+            },
+            'faults': dict(sorted(journal.faults.items())),
+            'runs': journal.ran_requests.total(),
+            'targets_crashed_by_requests': self._stand_ins.crashes,
+            'breaches': self.tier.list_breaches(),
+            'findings': [*journal.findings, *findings][:_MOST_FINDINGS],
+        }
--- /dev/null
+++ b/testkit/soak/_scene.py
@@ -0,0 +1,18 @@
+"""What faults act on."""
+
+from dataclasses import dataclass
+
+from testkit.runner import Tier
+from testkit.soak._load import Load
+from testkit.soak._records import Journal
+from testkit.soak._targets import StandIns
+
+
+@dataclass(frozen=True)
+class Scene:
+    """The parts of a run."""
+
+    tier: Tier
+    journal: Journal
+    load: Load
+    stand_ins: StandIns
