Show the operator address of instances

Cause: the instance page has no versions, so two columns stayed empty. Change: the table shows the operator address instead; versions are in the leader's status.

--- a/shallotgate/cli/_reads.py
+++ b/shallotgate/cli/_reads.py
@@ -11,8 +11,7 @@
     'roles',
     'readiness',
     'caller_address',
-    'versions.catalogue',
-    'versions.ownership',
+    'operator_address',
 )
 _TARGET_COLUMNS = (
     'target',
