--- a/shallotgate/operators/_writes.py
+++ b/shallotgate/operators/_writes.py
@@ -14,6 +14,7 @@
     make_object_schema,
     parse_body,
 )
+from shallotgate.operators._pages import render_answer
 from shallotgate.operators._ports import OperatorPorts
 from shallotgate.settings import OperatorKey
 
@@ -108,12 +109,12 @@
                     'findings': [finding],
                 },
             )
-        body = self._ports.leader.call_leader(
+        answer = self._ports.leader.call_leader(
             'replace_member',
             content,
             _REPLACE_TIMEOUT_S,
         )
-        return Response(200, body)
+        return render_answer(answer)
 
 
 def _read_verdict(outcome: object) -> Verdict:
