Check everything again when an attempt is handed to its connection

Cause: a thread that is stopped between taking an attempt from the queue and sending it could send without a lease, or after the attempt was answered as overdue. Two threads could bring the pools in line with an older view. A cancelled trial was judged as survived.

Change: attach repeats all checks of the queue; the view is read under a lock; a running trial is answered as cancelled but goes on to be judged, and runs once per holder. A target with a single connection is not polled.

--- a/shallotgate/targets/_gate.py
+++ b/shallotgate/targets/_gate.py
@@ -67,7 +67,8 @@
                 and status == 'trial'
                 and judgement.holder != attempt.trial
             )
-            return 'suspect' if granted_else else ''
+            has_run = self._suspects.has_judged(attempt.trial)
+            return 'suspect' if granted_else or has_run else ''
         if status in {'suspect', 'trial'}:
             return 'suspect'
         is_suspect = self._suspects.is_suspect(attempt.digest)
--- a/shallotgate/targets/_owned.py
+++ b/shallotgate/targets/_owned.py
@@ -83,6 +83,10 @@
             cold_start=policy.cold_start,
         )
         self._pools = Pools()
+        # Held while the pools are brought in line with the view.
+        self._following = threading.Lock()
+        # Held while the pools are brought in line with the view.
+        self._following = threading.Lock()
         # Attempts without a reply, by id.
         self._works: dict[str, tuple[TargetPool, Work]] = {}
         self._sweeping: Subscription | None = None
@@ -148,14 +152,16 @@
         for pool in self._pools.list_open():
             pool.core.is_leaving = pool.target.name in self._pools.leaving
 
-    def _follow(self, view: View) -> None:
+    def _follow(self, _view: View) -> None:
+        with self._following:
+            # Read under the lock: several threads come here, and the last
+            # one must act on the newest view.
+            view = self._view.current()
+            wanted = list_wanted(view, self._parts.gate.owner)
+            if self._pools.is_stopping:
+                wanted = {}
+            opened, closed = self._pools.change(wanted, self._make_pool)
         self._suspects.follow(view)
-        opened, closed = self._pools.change(
-            {}
-            if self._pools.is_stopping
-            else list_wanted(view, self._parts.gate.owner),
-            self._make_pool,
-        )
         for pool in closed:
             pool.close()
         for pool in opened:
--- a/shallotgate/targets/_pool.py
+++ b/shallotgate/targets/_pool.py
@@ -85,17 +85,17 @@
         with self.lock:
             if work.answered:
                 return
-            work.cancelled = True
-            if work.connection is not None:
-                # Under the lock, so that the connection can't have gone on
-                # to another attempt.
-                work.connection.close()
+            outcome = Outcome('not_run', 'cancelled')
             if work in self.core.running:
-                return
+                if not work.attempt.trial:
+                    _cancel_running(work)
+                    return
+                # The outcome of a trial is still to be judged.
+                outcome = Outcome('cancelled')
             self.core.queue.discard(work)
             work.claim()
             state = self.core.make_state()
-        self._parts.deliver(work, Outcome('not_run', 'cancelled'), state)
+        self._parts.deliver(work, outcome, state)
 
     def sweep(self, now: float) -> None:
         """End attempts whose deadline has passed."""
@@ -135,9 +135,14 @@
                 return work
 
     def attach(self, work: Work, connection: TargetConnection) -> bool:
-        """Mark an attempt as being sent; False if it was cancelled."""
+        """Mark an attempt as being sent; False if it may not be any more.
+
+        The thread may have been stopped since ``take``, with the process or
+        on its own, so everything is checked once more.
+        """
         with self.lock:
-            if work.cancelled:
+            is_dropped = work.cancelled or work.answered
+            if is_dropped or self.core.refuse(work):
                 return False
             work.dispatches += 1
             check(
@@ -261,8 +266,19 @@
             self._parts.start_worker(self)
 
 
+def _cancel_running(work: Work) -> None:
+    """Cancel under the lock, while the connection serves no other attempt."""
+    work.cancelled = True
+    if work.connection is not None:
+        work.connection.close()
+
+
 def _close_overdue(running: Iterable[Work], now: float) -> list[Work]:
-    overdue = [work for work in running if now >= work.deadline + _OVERDUE_S]
+    overdue = [
+        work
+        for work in running
+        if work.dispatches and now >= work.deadline + _OVERDUE_S
+    ]
     for work in overdue:
         if work.connection is not None:
             work.connection.close()
--- a/shallotgate/targets/_suspects.py
+++ b/shallotgate/targets/_suspects.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 import time
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -20,6 +21,7 @@
 # A committed suspect is in every view within 4 s, so the local note is not
 # needed any longer.
 _COMMITTED_S = 10.0
+_JUDGED_TRIALS = 1000
 
 
 @dataclass
@@ -36,6 +38,8 @@
     def __init__(self, commands: CommandPort) -> None:
         self._commands = commands
         self._notes: dict[str, _Note] = {}
+        # Trials that have run here; none runs twice.
+        self._judged: deque[str] = deque(maxlen=_JUDGED_TRIALS)
         self._lock = threading.Lock()
         self._pending: queue.SimpleQueue[object] = queue.SimpleQueue()
         self._stopped = threading.Event()
@@ -60,6 +64,10 @@
         note = self._notes.get(digest)
         return note is not None and time.monotonic() < note.expires
 
+    def has_judged(self, trial: str) -> bool:
+        """Return whether a trial has run here."""
+        return trial in self._judged
+
     def report(
         self,
         target: str,
@@ -93,6 +101,7 @@
 
     def judge(self, target: str, trial: Attempt, lost: bool) -> None:
         """Commit the end of a trial; its digest is suspect if it is lost."""
+        self._judged.append(trial.trial)
         if lost:
             expires = time.monotonic() + _GIVE_UP_S
             with self._lock:
--- a/shallotgate/targets/_worker.py
+++ b/shallotgate/targets/_worker.py
@@ -24,6 +24,8 @@
 _LOST_REPORT_PERIOD_S = 0.25
 _REPORT_JITTER = 0.2
 _REPORT_TIMEOUT_S = 1.0
+# A target that accepts a single connection has none to spare for reports.
+_CONNECTIONS_WITH_REPORTS = 2
 
 
 def serve_connection(pool: TargetPool) -> None:
@@ -59,6 +61,9 @@
     pool: TargetPool,
     connection: TargetConnection | None,
 ) -> TargetConnection | None:
+    if pool.target.connections < _CONNECTIONS_WITH_REPORTS:
+        _probe(pool)
+        return None
     if connection is None:
         return pool.link.connect()
     try:
@@ -70,6 +75,14 @@
     return connection
 
 
+def _probe(pool: TargetPool) -> None:
+    """Find out whether a target without a spare connection is back."""
+    if pool.core.is_lost:
+        connection = pool.link.connect()
+        if connection is not None:
+            connection.close()
+
+
 def _serve(
     pool: TargetPool,
     connection: TargetConnection,
--- a/shallotgate/targets/tests/fakes.py
+++ b/shallotgate/targets/tests/fakes.py
@@ -146,8 +146,13 @@
 class FakeLease:
     def __init__(self):
         self.left_s = 4
+        # Calls after which it expires.
+        self.calls = float('inf')
 
     def remaining_s(self):
+        self.calls -= 1
+        if self.calls < 0:
+            self.left_s = 0
         return self.left_s
 
 
--- a/shallotgate/targets/tests/test_owned.py
+++ b/shallotgate/targets/tests/test_owned.py
@@ -180,6 +180,16 @@
     assert queued.attempt_id not in rig.edge.started
 
 
+def test_lease_is_checked_after_the_attempt_was_taken(make_rig):
+    """Guards against dispatch by a thread that was stopped meanwhile."""
+    rig = make_rig()
+    assert rig.run().status == 'ok'
+    # Valid when it is queued and when it is taken from the queue.
+    rig.lease.calls = 2
+    assert rig.run().reason == 'no_lease'
+    assert len(rig.edge.started) == 1
+
+
 def test_cancel_of_queued_work_costs_nothing(make_rig):
     """Guards against cancelled attempts that still reach the target."""
     rig = make_rig()
@@ -284,6 +294,17 @@
     assert rig.commands.taken.empty()
 
 
+def test_cancelled_trial_is_judged_by_its_outcome(make_rig):
+    """Guards against content that is cleared though nothing was proved."""
+    rig = make_rig()
+    attempt, replies = hold_one(rig, digest='suspect', trial='holder-1')
+    rig.owned.cancel(attempt.attempt_id)
+    assert replies.get(timeout=WAIT_S).status == 'cancelled'
+    rig.edge.crash()
+    assert rig.commands.taken.get(timeout=WAIT_S).lost
+    assert replies.empty()
+
+
 @pytest.mark.parametrize('crashes', [False, True])
 def test_trial_runs_alone_and_is_judged(make_rig, crashes):
     """Guards against a trial that takes other attempts down with it."""
@@ -308,6 +329,7 @@
     assert trial_replies.get(timeout=WAIT_S).status == (
         'lost' if crashes else 'ok'
     )
+    assert rig.run(digest='suspect', trial='holder-1').status == 'not_run'
     command = rig.commands.taken.get(timeout=WAIT_S)
     assert isinstance(command, JudgeTrial)
     assert (command.holder, command.lost) == ('holder-1', crashes)
