Keep the log strict where an event fails midway

Cause: an error between writing and syncing could let a later message count unsynced records; a vote that fails its check was still stored; a silent peer was sent records again and again; a truncation was not durable before the next write.

Change: followers sync whatever is unsynced before they answer; a failed check refuses the vote; a member that does not answer gets heartbeats only; a truncation is synced; a pre-vote ends when a leader is heard.

--- a/shallotgate/consensus/_ballot.py
+++ b/shallotgate/consensus/_ballot.py
@@ -1,5 +1,6 @@
 """Stored term and vote."""
 
+from shallotgate.errors import InvariantError
 from shallotgate.invariants import check
 from shallotgate.storage import DataFolder, StoredVote
 
@@ -27,19 +28,23 @@
         self._vote = self._folder.read_vote()
 
     def store(self, term: int, voted: str) -> None:
-        """Store term and vote durably, then use them."""
-        check(
+        """Store term and vote durably, then use them.
+
+        Raises ``InvariantError`` if term or vote would go back.
+        """
+        is_allowed = check(
             term >= self.term,
             'term never goes back',
             term=term,
             current=self.term,
-        )
-        check(
+        ) and check(
             term > self.term or not self.voted,
             'a vote is never changed',
             term=term,
             voted=(self.voted, voted),
         )
+        if not is_allowed:
+            raise InvariantError(f'vote in term {term} after {self._vote}')
         vote = StoredVote(term, voted)
         self._folder.write_vote(vote)
         self._vote = vote
--- a/shallotgate/consensus/_elector.py
+++ b/shallotgate/consensus/_elector.py
@@ -115,7 +115,7 @@
             self._core.adopt_term(message.term)
 
     def _count_pre_vote(self, identity: str) -> None:
-        if self._pre_votes is None:
+        if self._pre_votes is None or self._core.leader is not None:
             return
         self._pre_votes.add(identity)
         if self._core.journal.group.has_majority(self._pre_votes):
--- a/shallotgate/consensus/_follower.py
+++ b/shallotgate/consensus/_follower.py
@@ -5,6 +5,7 @@
 
 from shallotgate.consensus._core import Core
 from shallotgate.consensus._group import Group, encode_group
+from shallotgate.errors import InvariantError
 from shallotgate.generated.messages import (
     Append,
     AppendReply,
@@ -62,6 +63,8 @@
             self._reply(delivery, success=False, match=max(hint, 0))
             return
         self._store(message)
+        if journal.synced_index < journal.last_index:
+            self._core.persist()
         # Only what this message has shown to match counts: records behind it
         # may stem from another leader.
         match = message.prev_index + len(message.records)
@@ -97,10 +100,9 @@
                     first=first,
                     commit=self._core.commit,
                 ):
-                    raise RuntimeError('conflict with a committed record')
+                    raise InvariantError('conflict with a committed record')
                 journal.truncate_after(first - 1)
             journal.append(fresh)
-        self._core.persist()
 
     def _install(self, delivery: Delivery) -> None:
         if not self._follow(delivery):
--- a/shallotgate/consensus/_journal.py
+++ b/shallotgate/consensus/_journal.py
@@ -111,7 +111,7 @@
         return self.synced_index + len(records)
 
     def truncate_after(self, index: int) -> None:
-        """Remove uncommitted records; durable with the next ``persist``."""
+        """Remove uncommitted records, durably; worker only."""
         if index < self.synced_index:
             self._folder.log.truncate_after(index)
             self.synced_index = index
--- a/shallotgate/consensus/_replicator.py
+++ b/shallotgate/consensus/_replicator.py
@@ -10,10 +10,14 @@
     Append,
     AppendReply,
     InstallSnapshot,
+    LogRecord,
     MemberList,
 )
+from shallotgate.logs import get_logger
 from shallotgate.storage import Snapshot
 
+_LOGGER = get_logger('consensus')
+
 
 class Replicator:
     """Brings one instance up to date during one leadership."""
@@ -29,17 +33,25 @@
         self._instance = instance
         self._next_index = core.journal.last_index + 1
         self._round = 0
+        self._is_answered = True
 
     def run(self) -> None:
         """Send records and heartbeats until the leadership ends."""
-        while not self._leadership.is_closed:
-            sent_at = time.monotonic()
-            request = self._make_append()
-            if request is None:
-                answered = self._send_snapshot()
-            else:
-                answered = self._send_append(request)
-            self._wait(sent_at + self._core.times.heartbeat_s, answered)
+        while not self._is_closed():
+            next_heartbeat = time.monotonic() + self._core.times.heartbeat_s
+            try:
+                self._is_answered = self._exchange()
+            except Exception:
+                _LOGGER.exception('Replication to %s failed.', self._instance)
+                self._is_answered = False
+            self._core.wait_until(self._has_work, next_heartbeat)
+
+    def _exchange(self) -> bool:
+        """Send one message or snapshot; returns whether it was answered."""
+        request = self._make_append()
+        if request is None:
+            return self._send_snapshot()
+        return self._send_append(request)
 
     def _make_append(self) -> Append | None:
         """Return the next message, None if a snapshot is needed."""
@@ -49,10 +61,14 @@
             prev_term = journal.term_at(prev_index)
             if prev_term is None:
                 return None
-            records = journal.slice_bytes(
-                self._next_index,
-                self._core.times.message_bytes,
-            )
+            records: list[LogRecord] = []
+            # A member that does not answer gets heartbeats only, so that no
+            # records pile up in its send queue.
+            if self._is_answered:
+                records = journal.slice_bytes(
+                    self._next_index,
+                    self._core.times.message_bytes,
+                )
             commit = self._core.commit
         self._round += 1
         return Append(
@@ -86,7 +102,7 @@
         with self._core.changed:
             snapshot = self._core.journal.snapshot
         offset = 0
-        while offset <= len(snapshot.state):
+        while offset <= len(snapshot.state) and not self._is_closed():
             reply = self._call(
                 self._make_part(snapshot, offset),
                 self._core.times.part_reply_s,
@@ -145,17 +161,9 @@
         return reply
 
     def _has_work(self) -> bool:
-        return (
-            self._leadership.is_closed
-            or self._core.journal.last_index >= self._next_index
-        )
-
-    def _wait(self, next_heartbeat: float, answered: bool) -> None:
-        """Wait for the next heartbeat or, if answered, for records."""
-        self._core.wait_until(
-            self._has_work if answered else self._is_closed,
-            next_heartbeat,
-        )
+        """Return whether to go on before the next heartbeat is due."""
+        is_behind = self._core.journal.last_index >= self._next_index
+        return self._is_closed() or (self._is_answered and is_behind)
 
     def _is_closed(self) -> bool:
         return self._leadership.is_closed
--- a/shallotgate/storage/_records.py
+++ b/shallotgate/storage/_records.py
@@ -94,12 +94,17 @@
         self.syncs += 1
 
     def truncate_after(self, index: int) -> None:
-        """Remove the records behind an index; durable after ``sync``."""
+        """Remove the records behind an index, durably.
+
+        Without a sync before the next write, a crash could leave old and new
+        records mixed, which would look like damage.
+        """
         kept = index - self.base_index + 1
         if not 1 <= kept <= len(self._ends):
             raise StorageError(f'{self.path}: no record {index}')
         del self._ends[kept:]
         self._cut(self._ends[-1])
+        self.sync()
 
     def rewrite(
         self,
