--- a/shallotgate/state/_crosschecks.py
+++ b/shallotgate/state/_crosschecks.py
@@ -73,17 +73,17 @@
 def _check_targets(catalogue: Catalogue) -> Iterator[CrossFault]:
     for name, service in catalogue.services.items():
         for position, target in enumerate(service.targets):
-            path = f'targets/{position}'
             if target.domain not in catalogue.domains:
                 yield CrossFault(
                     'services',
                     name,
-                    f'{path}/domain',
+                    f'targets/{position}/domain',
                     f'unknown domain {target.domain!r}',
                     ('domains', target.domain),
                 )
             for field, reason in _check_target(target):
-                yield CrossFault('services', name, f'{path}/{field}', reason)
+                path = f'targets/{position}/{field}'
+                yield CrossFault('services', name, path, reason)
 
 
 def _check_target(target: Target) -> Iterator[tuple[str, str]]:
@@ -98,6 +98,8 @@
 
 
 def _check_repeated_targets(catalogue: Catalogue) -> Iterator[CrossFault]:
+    if _is_each_unique(catalogue):
+        return
     # Each name and each address, with the places that have it.
     uses: defaultdict[_Use, list[_Place]] = defaultdict(list)
     for service_name, service in catalogue.services.items():
@@ -110,6 +112,18 @@
             yield from _list_repeats(field, text, places)
 
 
+def _is_each_unique(catalogue: Catalogue) -> bool:
+    """Return whether names and addresses differ; the usual case is fast."""
+    targets = [
+        target
+        for service in catalogue.services.values()
+        for target in service.targets
+    ]
+    names = {target.name for target in targets}
+    addresses = {target.address for target in targets}
+    return len(names) == len(targets) == len(addresses)
+
+
 def _list_repeats(
     field: str,
     text: str,
--- a/shallotgate/state/_once.py
+++ b/shallotgate/state/_once.py
@@ -1,9 +1,12 @@
 """Once-only requests: claims, outcomes and releases."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Literal
 
+import msgspec
+from msgspec.structs import replace
+
 from shallotgate.generated.messages import (
     ClaimOnce,
     OnceResult,
@@ -19,8 +22,7 @@
 _RELEASED_LIMIT = 8
 
 
-@dataclass(frozen=True)
-class OnceRecord:
+class OnceRecord(msgspec.Struct, frozen=True, array_like=True):
     """What is known of one key of one caller."""
 
     # Digest of the content that the key stands for.
--- a/shallotgate/state/_timed.py
+++ b/shallotgate/state/_timed.py
@@ -1,13 +1,13 @@
 """Bounded table of ids that begin with their UTC time."""
 
-import calendar
 import heapq
 import re
-import time
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from datetime import datetime
 from typing import Generic, Literal, TypeVar
 
+import msgspec
+
 _T = TypeVar('_T')
 
 Standing = Literal['current', 'too_old', 'from_future', 'malformed']
@@ -16,8 +16,7 @@
 RETENTION_S = 86400
 # Clocks of callers and of the leader may differ by this much.
 FUTURE_TOLERANCE_S = 60
-_ID_PATTERN = re.compile('([0-9]{8}T[0-9]{6})Z-[A-Za-z0-9._-]{8,64}')
-_ID_TIME_FORMAT = '%Y%m%dT%H%M%S'
+_ID_PATTERN = re.compile('([0-9]{8}T[0-9]{6}Z)-[A-Za-z0-9._-]{8,64}')
 
 
 def parse_id_time(identifier: str) -> float | None:
@@ -32,15 +31,18 @@
     if match is None:
         return None
     try:
-        parsed = time.strptime(match.group(1), _ID_TIME_FORMAT)
+        moment = datetime.fromisoformat(match.group(1))
     except ValueError:
         return None
-    return float(calendar.timegm(parsed))
+    return moment.timestamp()
+
 
+class TimedRow(msgspec.Struct, Generic[_T], frozen=True, array_like=True):
+    """One id with its time and what is kept for it.
 
-@dataclass(frozen=True)
-class TimedRow(Generic[_T]):
-    """One id with its time and what is kept for it."""
+    A struct, because a full table of dataclasses takes so long to encode that
+    the leader would miss its own heartbeats.
+    """
 
     key: str
     # Seconds since 1970, from the id.
