Keep noise from holding targets cold

Cause: in 12 test runs, four at a time on a busy machine (load 25 on 10 cores), the cold-target tests failed 8 times: 7 times the target did not get warm within 20 s, as two noisy replies in a row halved its limit again and again, and once the noise hid an overload and the target collapsed.

Change: the run of slow replies that counts as overload is so long that the share of slow replies seen without load makes it less often than once in a thousand. A single slow reply no longer ends the run of successes, and the longest back-off is 8. The test of stragglers keeps its pairs of slow replies and now also checks, with ordinary replies between them, that three in a row turn a target cold: in the former pattern two thirds of all replies were slow, which now counts as noise.

--- a/shallotgate/targets/_limiter.py
+++ b/shallotgate/targets/_limiter.py
@@ -1,11 +1,13 @@
 """How many attempts one target may run at once."""
 
+import math
+
 # Successes in a row, at full use of the limit, before it grows. Above the
 # catalogue's cold_slots it takes twice as many.
 _GROWTH_RUN = 20
 # Each time the limit is reduced the next growth takes twice as long, up to
 # this factor.
-_MAX_BACKOFF = 16
+_MAX_BACKOFF = 8
 # Latency that counts as overload: this many times normal, and at least this
 # much more than normal because of scheduling noise on very fast targets. One
 # slow reply alone is an ordinary straggler, so it takes a run of them.
@@ -18,6 +20,15 @@
 _COLD_SLOW_FACTOR = 2.0
 _COLD_SLOW_MARGIN_MS = 4.0
 _COLD_SLOW_RUN = 2
+# Where noise alone makes replies slow, a run of them must be so long that
+# noise produces it less often than this. With fixed runs a target on a busy
+# machine was halved again and again and never became warm.
+_FALSE_ALARM_RATE = 0.001
+_LONGEST_SLOW_RUN = 5
+_FIRST_SLOW_RATE = 0.02
+_SLOW_RATE_WEIGHT = 0.02
+_LEAST_SLOW_RATE = 0.001
+_MOST_SLOW_RATE = 0.5
 _LATENCY_WEIGHT = 0.2
 # Normal latency falls quickly and rises slowly, so that a slow spell does
 # not become the norm.
@@ -46,6 +57,8 @@
         self._cold_start = cold_start
         self._good_run = 0
         self._slow_run = 0
+        # Share of slow replies that is not due to the load put on it.
+        self._slow_rate = _FIRST_SLOW_RATE
         self._backoff = 1
         self.turn_cold()
 
@@ -82,7 +95,10 @@
     def note_success(self, service_ms: float, load: int) -> None:
         """Learn from a reply; ``load`` is what ran when it was sent."""
         self.latency_ms += _LATENCY_WEIGHT * (service_ms - self.latency_ms)
-        if self.is_slow(service_ms):
+        is_slow = self.is_slow(service_ms)
+        if load == 1 or not self.is_cold:
+            self._note_slow_rate(is_slow)
+        if is_slow:
             if load == 1:
                 # At the smallest load the latency is normal by definition;
                 # otherwise a slower target would stay cold for ever.
@@ -99,11 +115,16 @@
 
     def note_slow(self) -> None:
         """Count one attempt of excessive latency."""
-        self._good_run = 0
         self._slow_run += 1
-        if self.is_cold and self._slow_run >= _COLD_SLOW_RUN:
+        noise_run = round(
+            math.log(_FALSE_ALARM_RATE) / math.log(self._slow_rate),
+        )
+        least = _COLD_SLOW_RUN if self.is_cold else _SLOW_RUN
+        if self._slow_run < min(max(noise_run, least), _LONGEST_SLOW_RUN):
+            return
+        if self.is_cold:
             self._halve()
-        elif self._slow_run >= _SLOW_RUN:
+        else:
             self.turn_cold()
 
     def note_failure(self) -> None:
@@ -122,6 +143,11 @@
         if self.normal_ms == 0 or self.is_slow(given_ms):
             self._halve()
 
+    def _note_slow_rate(self, is_slow: bool) -> None:
+        rate = self._slow_rate
+        rate += _SLOW_RATE_WEIGHT * (is_slow - rate)
+        self._slow_rate = min(max(rate, _LEAST_SLOW_RATE), _MOST_SLOW_RATE)
+
     def _learn_normal(self, service_ms: float) -> None:
         if self.normal_ms == 0:
             self.normal_ms = service_ms
--- a/shallotgate/targets/tests/test_limiter.py
+++ b/shallotgate/targets/tests/test_limiter.py
@@ -1,3 +1,5 @@
+import random
+
 from shallotgate.targets._edge import TargetReport
 from shallotgate.targets._limiter import Limiter
 from shallotgate.targets._observation import Observation
@@ -58,10 +60,29 @@
         feed(limiter, 100, 2)
         feed(limiter, 5, 1)
     assert not limiter.is_cold
+    limiter = make_warm()
+    for _ in range(50):
+        feed(limiter, 100, 2)
+        feed(limiter, 5, 60)
+    assert not limiter.is_cold
     feed(limiter, 100, 3)
     assert limiter.is_half
 
 
+def test_noise_does_not_keep_a_target_cold():
+    """Guards against limits that fall with the noise of the machine."""
+    seed = random.randrange(2**32)
+    print(f'seed {seed}')
+    rng = random.Random(seed)
+    limiter = Limiter(3, 1, cold_start=True)
+    warm = 0
+    for _ in range(4000):
+        noise_ms = 20 if rng.random() < 0.1 else rng.random()
+        feed(limiter, 5 + noise_ms)
+        warm += not limiter.is_cold
+    assert warm > 2000
+
+
 def test_short_deadline_is_no_overload():
     """Guards against limits reduced by impatient callers."""
     limiter = make_warm()
