--- a/testkit/soak/_records.py
+++ b/testkit/soak/_records.py
@@ -81,6 +81,15 @@
         )
         return dict(sorted(outcomes.items()))
 
+    def count_reasons(self) -> Mapping[str, int]:
+        """Return the number of answers that are not complete by reason."""
+        reasons: Counter[str] = Counter()
+        for exchange in self.exchanges:
+            answer = exchange.answer
+            if answer and answer['outcome'] != 'complete':
+                reasons[f'{answer["outcome"]} {answer.get("reason")}'] += 1
+        return dict(sorted(reasons.items()))
+
 
 def list_quantiles_ms(exchanges: Sequence[Exchange]) -> Mapping[str, float]:
     """Return quantiles of the time to a complete answer in milliseconds."""
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -85,10 +85,9 @@
         self.tier.proxy.heal()
         try:
             self._settle()
+            findings.extend(self._check_final())
         except WaitTimeoutError as error:
             findings.append(f'not healed: {error}')
-        else:
-            findings.extend(self._check_final())
         self._ended.set()
         findings.extend(
             f'{name}: exit status {status} at the end'
@@ -131,6 +130,9 @@
 
     def _check_final(self) -> Iterator[str]:
         first, *others = self.tier.instances
+        # The last change may not be in force everywhere yet.
+        newest = max(map(self.tier.clients.read_version, self.tier.instances))
+        self.tier.clients.wait_version(newest, self.tier.instances)
         catalogue = self.tier.clients.read(first, '/v1/catalogue')
         history = self.tier.clients.read(first, '/v1/history')
         yield from check_changes(self.journal.changes, catalogue, history)
@@ -148,6 +150,7 @@
             'seed': self._seed,
             'seconds': round(time.monotonic() - journal.started, 1),
             'exchanges': journal.count_outcomes(),
+            'reasons': journal.count_reasons(),
             'complete_ms': list_quantiles_ms(journal.exchanges),
             'changes': {
                 verdict: verdicts.count(verdict) for verdict in set(verdicts)
