Send stalled attempts elsewhere and avoid owners that refuse

Change: an attempt without any sign of its owner for 0.3 s gets a second one from the retry budget; such owners and those that refuse for want of a lease are avoided for a second at a time; outcomes and releases are committed after the answer where its time is over; trials prefer another service, so that one service does not lose two replicas; 503 before a catalogue is known.

--- a/shallotgate/edge/_application.py
+++ b/shallotgate/edge/_application.py
@@ -97,6 +97,9 @@
     def _answer_query(self, request: Request) -> Response:
         parsed = self._wire.parse(request.body)
         catalogue = self._view.current().catalogue
+        if not catalogue.version:
+            # Without a catalogue no caller is known yet.
+            return self._refuse(503, [], 'no_catalogue')
         caller = self._find_caller(catalogue, request.bearer)
         if caller is None:
             fault = AnswerFinding(
@@ -126,11 +129,12 @@
         self,
         status: int,
         findings: Sequence[AnswerFinding],
+        reason: str = 'invalid',
     ) -> Response:
         answer = Answer(
             request_id=self._queries.make_request_id(),
             outcome='refused',
-            reason='invalid',
+            reason=reason,
             findings=findings,
         )
         return self._render(status, answer)
--- a/shallotgate/edge/tests/test_application.py
+++ b/shallotgate/edge/tests/test_application.py
@@ -8,6 +8,7 @@
 from shallotgate.edge import CallerApplication
 from shallotgate.generated.answers import Answer
 from shallotgate.http import HttpServer, Request
+from shallotgate.membership import TierView
 from shallotgate.query.tests.tier import Tier
 
 KEY = 'a-bearer-key'
@@ -147,6 +148,19 @@
     assert ('Retry-After' in response.headers) == (status in {429, 503})
 
 
+def test_entry_without_a_catalogue_is_not_ready():
+    """Guards against 401 for all callers right after a start."""
+    tier = Tier()
+    tier.view = TierView()
+    application = CallerApplication(tier.entry, tier.view, lambda: '')
+    response, answer = post(application, QUERY)
+    assert response.status == 503
+    assert (answer['outcome'], answer['reason']) == (
+        'refused',
+        'no_catalogue',
+    )
+
+
 def test_readiness_and_unknown_paths():
     """Guards against traffic to an instance that is not ready."""
     reasons = ['starting', '']
--- a/shallotgate/query/_coverage.py
+++ b/shallotgate/query/_coverage.py
@@ -31,7 +31,7 @@
         if shard.matches is None
     ]
     if not answered:
-        return _make_empty_answer(task, usage, missing)
+        return _make_empty_answer(task, usage, missing, open_reason)
     return _make_merged_answer(task, usage, index_version, answered, missing)
 
 
@@ -39,8 +39,11 @@
     task: Task,
     usage: Usage,
     missing: Sequence[MissingShard],
+    open_reason: str,
 ) -> Answer:
     outcome = usage.judge()
+    # Why shards that were tried are missing says more.
+    tried = [shard for shard in missing if shard.reason != open_reason]
     check(
         outcome != 'refused' or not usage.may_have_run,
         'refusal-only-if-not-run',
@@ -48,7 +51,7 @@
     )
     return task.make_answer(
         outcome,
-        _find_main_reason(missing),
+        _find_main_reason(tried or missing),
         attempts=usage.sent,
         missing=missing,
     )
--- a/shallotgate/query/_driver.py
+++ b/shallotgate/query/_driver.py
@@ -5,8 +5,9 @@
 import time
 
 from shallotgate.query._exchange import Exchange, Shard
+from shallotgate.query._extra import STALL_S, ExtraAttempts
 from shallotgate.query._pick import FreePick, Pick
-from shallotgate.query._task import MS_PER_S, QueryParts, Task
+from shallotgate.query._task import QueryParts, Task
 from shallotgate.routing import Candidate, Route
 
 # Between two looks for a usable target or for budget to retry.
@@ -23,14 +24,12 @@
         self._task = task
         self._timers: list[tuple[float, int, Shard]] = []
         self._numbers = itertools.count()
-        self._is_hedged = task.policy.hedge and parts.policy.hedging
         self.exchange = Exchange(parts, task)
+        self._extra = ExtraAttempts(parts, task, self.exchange.usage)
         self.pick: Pick = FreePick(parts.chooser)
         self.index_version = 0
         # Shards that may still get an answer.
         self.open = 0
-        # Targets lost before the present shards were opened.
-        self.lost_before = 0
         # Set when the bound version is retired.
         self.restart_due = False
 
@@ -44,10 +43,6 @@
         """Return the present route of the query's group."""
         return self._parts.chooser.read_route(self._task.request.group)
 
-    def count_lost(self) -> int:
-        """Return the targets lost since the present shards were opened."""
-        return len(self.exchange.usage.lost_targets) - self.lost_before
-
     def next_timer(self) -> float:
         """Return the monotonic time of the next timer, else infinity."""
         return self._timers[0][0] if self._timers else float('inf')
@@ -89,7 +84,7 @@
         """Go on with a shard whose last attempt has failed."""
         if is_final or shard.losses >= _MAX_LOSSES:
             self.close(shard)
-        elif self.pick.screening and self.count_lost():
+        elif self.pick.screening and self.exchange.usage.lost_in_phase:
             # Only a trial may run it again.
             self.close(shard)
         else:
@@ -140,29 +135,30 @@
             screening=self.pick.screening,
             trial=self.pick.trial,
         )
-        if sent is None or not self._is_hedged or len(shard.active) > 1:
+        if sent is None or len(shard.active) > 1:
             return
-        slow_ms = self._parts.latency.quantile_ms(
-            candidate.service,
-            self._parts.policy.hedge_quantile,
-        )
-        if slow_ms is not None:
-            shard.hedge_at = now + slow_ms / MS_PER_S
-            self._schedule(shard.hedge_at, shard)
+        slow_s = self._extra.read_slow_s(candidate)
+        self._watch(shard, now + min(slow_s, STALL_S))
+
+    def _watch(self, shard: Shard, when: float) -> None:
+        shard.hedge_at = when
+        self._schedule(when, shard)
 
     def _hedge(self, shard: Shard, now: float) -> None:
+        """Send a second attempt next to a slow or stalled one."""
         first = shard.active[0]
-        candidate = self.pick.pick(
-            shard.candidates,
-            shard.barred | shard.passed | {first.candidate.target},
-            warm_only=True,
-        )
-        if candidate is None:
-            return
-        if not self._parts.hedges.try_spend():
+        is_stalled = self._extra.is_stalled(first, now)
+        candidate = None
+        if is_stalled or self._extra.is_slow(first, now):
+            self._refresh(shard, self.read_route())
+            candidate = self.pick.pick(
+                shard.candidates,
+                shard.barred | shard.passed | {first.candidate.target},
+                warm_only=not is_stalled,
+            )
+        if candidate is None or not self._extra.try_spend(is_stalled):
             # The slower it is, the less often the budget is asked.
-            shard.hedge_at = 2 * now - first.sent_at
-            self._schedule(shard.hedge_at, shard)
-            return
-        self.exchange.usage.hedges += 1
-        self._send(shard, candidate, now)
+            age_s = now - first.sent_at
+            self._watch(shard, now + min(max(age_s, PAUSE_S), STALL_S))
+        else:
+            self._send(shard, candidate, now)
--- a/shallotgate/query/_exchange.py
+++ b/shallotgate/query/_exchange.py
@@ -140,6 +140,7 @@
             self.usage.failed += 1
         elif is_target_lost(reply):
             self.usage.lost_targets.append(sent.candidate.target)
+            self.usage.lost_in_phase = True
 
     def _make_attempt(
         self,
--- a/shallotgate/query/_once.py
+++ b/shallotgate/query/_once.py
@@ -1,5 +1,6 @@
 """Requests that run at most once."""
 
+import contextlib
 import dataclasses
 import time
 from types import MappingProxyType
@@ -26,9 +27,6 @@
 from shallotgate.routing import Candidate
 
 _PAUSE_S = 0.1
-# The outcome is worth more than the deadline: without a record of it, a
-# resend is answered with unknown.
-_RECORD_PATIENCE_S = 2.0
 _CLAIM_ROUNDS = 4
 # Claims that were certainly not granted, and the fault of the request.
 _REFUSED_CLAIMS = frozenset(('from_future', 'mismatch', 'table_full'))
@@ -217,39 +215,34 @@
         )
 
     def _record(self, answer: Answer) -> None:
-        command = RecordOutcome(
-            key=self._task.request.key,
-            caller=self._task.caller,
-            claim=self._claim,
-            answer=encode_json(answer),
-            time=0,
+        self._settle(
+            RecordOutcome(
+                key=self._task.request.key,
+                caller=self._task.caller,
+                claim=self._claim,
+                answer=encode_json(answer),
+                time=0,
+            )
         )
-        if not self._propose_patiently(command):
-            self._parts.metrics.count('once_unrecorded_total')
 
     def _release(self) -> None:
-        command = ReleaseClaim(
-            key=self._task.request.key,
-            caller=self._task.caller,
-            claim=self._claim,
-            time=0,
+        self._settle(
+            ReleaseClaim(
+                key=self._task.request.key,
+                caller=self._task.caller,
+                claim=self._claim,
+                time=0,
+            )
         )
-        if not self._propose_patiently(command):
-            self._parts.metrics.count('once_unreleased_total')
 
-    def _propose_patiently(self, command: object) -> bool:
-        give_up_at = time.monotonic() + _RECORD_PATIENCE_S
-        while time.monotonic() < give_up_at:
-            try:
-                self._parts.commands.propose(
-                    command,
-                    give_up_at - time.monotonic(),
-                )
-            except (ConsensusError, TransportError):
-                time.sleep(_PAUSE_S)
-            else:
-                return True
-        return False
+    def _settle(self, command: object) -> None:
+        """Commit in the time left, or go on after the answer."""
+        left_s = self._task.remaining_s()
+        if left_s > 0:
+            with contextlib.suppress(ConsensusError, TransportError):
+                self._parts.commands.propose(command, left_s)
+                return
+        self._parts.settler.submit(self._parts.commands, command)
 
     def _propose(self, command: ClaimOnce) -> OnceResult:
         result = self._parts.commands.propose(
--- a/shallotgate/query/_run.py
+++ b/shallotgate/query/_run.py
@@ -58,7 +58,7 @@
     def run_shards(self, shards: Iterable[Shard], pick: Pick) -> None:
         """Get answers for shards, until they have one or time is over."""
         self.driver.pick = pick
-        self.driver.lost_before = len(self.exchange.usage.lost_targets)
+        self.exchange.usage.lost_in_phase = False
         opened = [shard for shard in shards if shard.matches is None]
         self.driver.open = len(opened)
         first = sum(1 for shard in opened if not shard.sends)
--- a/shallotgate/query/_service.py
+++ b/shallotgate/query/_service.py
@@ -76,9 +76,17 @@
             self._is_stopping = True
 
     def wait_idle(self, timeout_s: float) -> bool:
-        """Wait until no query runs; False if the time was too short."""
+        """Wait until no query runs and all outcomes are recorded.
+
+        False if the time was too short.
+        """
+        give_up_at = time.monotonic() + timeout_s
         with self._idle:
-            return self._idle.wait_for(lambda: not self._running, timeout_s)
+            self._idle.wait_for(lambda: not self._running, timeout_s)
+            if self._running:
+                return False
+        left_s = max(give_up_at - time.monotonic(), 0)
+        return self._parts.settler.wait_idle(left_s)
 
     def count_running(self) -> int:
         """Return the number of queries that wait or run."""
--- /dev/null
+++ b/shallotgate/query/_settler.py
@@ -0,0 +1,77 @@
+"""Commands that are committed after their query was answered."""
+
+import threading
+import time
+from queue import SimpleQueue
+
+from shallotgate.errors import ConsensusError, TransportError
+from shallotgate.logs import get_logger
+from shallotgate.membership import CommandPort
+
+_LOGGER = get_logger('query')
+# Longer than an election, so that a lost leader costs no record.
+_PATIENCE_S = 10.0
+_PAUSE_S = 0.1
+_Job = tuple[CommandPort, object, float]
+
+
+class Settler:
+    """Repeats commands until they are committed, on one thread.
+
+    Without the record of a once-only outcome a resend is answered with
+    unknown, so it is worth more than the deadline of its query.
+    """
+
+    def __init__(self) -> None:
+        self._jobs: SimpleQueue[_Job] = SimpleQueue()
+        self._changed = threading.Condition()
+        self._pending = 0
+        self._thread: threading.Thread | None = None
+
+    def submit(self, commands: CommandPort, command: object) -> None:
+        """Commit a command soon, or give it up after 10 s."""
+        with self._changed:
+            self._pending += 1
+            if self._thread is None:
+                self._thread = threading.Thread(
+                    target=self._run,
+                    name='settler',
+                    daemon=True,
+                )
+                self._thread.start()
+        self._jobs.put((commands, command, time.monotonic() + _PATIENCE_S))
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until nothing is left; False if the time was too short."""
+        with self._changed:
+            return self._changed.wait_for(lambda: not self._pending, timeout_s)
+
+    def _run(self) -> None:
+        while True:
+            job = self._jobs.get()
+            try:
+                self._commit(*job)
+            except Exception:
+                _LOGGER.exception('A command could not be committed.')
+            with self._changed:
+                self._pending -= 1
+                self._changed.notify_all()
+
+    def _commit(
+        self,
+        commands: CommandPort,
+        command: object,
+        give_up_at: float,
+    ) -> None:
+        # At least one try, however long it had to wait for others.
+        while True:
+            left_s = max(give_up_at - time.monotonic(), _PAUSE_S)
+            try:
+                commands.propose(command, left_s)
+            except (ConsensusError, TransportError) as error:
+                if time.monotonic() >= give_up_at:
+                    _LOGGER.warning('Command given up: %s.', error)
+                    return
+                time.sleep(_PAUSE_S)
+            else:
+                return
--- a/shallotgate/query/_task.py
+++ b/shallotgate/query/_task.py
@@ -16,6 +16,7 @@
 from shallotgate.membership import CommandPort, Lease, TierView
 from shallotgate.metrics import Metrics
 from shallotgate.query._screening import DigestTable
+from shallotgate.query._settler import Settler
 from shallotgate.routing import (
     AttemptPort,
     Budget,
@@ -49,6 +50,7 @@
     proven: DigestTable[bool] = field(default_factory=DigestTable)
     # Names of targets that were lost while they ran a digest.
     suspects: DigestTable[tuple[str, ...]] = field(default_factory=DigestTable)
+    settler: Settler = field(default_factory=Settler)
     hedges: Budget = field(init=False)
     retries: Budget = field(init=False)
 
@@ -131,6 +133,8 @@
     # Time on targets, without any wait, of the slowest attempt of each phase;
     # 0 if no owner told it.
     service_ms: float = 0
+    # Whether a target was lost since the present shards were opened.
+    lost_in_phase: bool = False
     # Targets lost while they ran an attempt of this query.
     lost_targets: list[str] = field(default_factory=list)
 
--- a/shallotgate/query/_trial.py
+++ b/shallotgate/query/_trial.py
@@ -258,7 +258,7 @@
         if shard.matches is not None:
             self._clear()
             return None
-        if self._run.driver.count_lost():
+        if self._run.exchange.usage.lost_in_phase:
             lost = self._parts.suspects.get(self._task.digest) or ()
             self._parts.suspects.put(
                 self._task.digest,
@@ -280,9 +280,11 @@
         self,
         lost: tuple[str, ...],
     ) -> tuple[Candidate, Shard] | None:
-        """Return a target for a trial, if possible a replica of a lost one.
+        """Return a target for a trial, if possible of another service.
 
-        Content may crash its targets only on some partitions.
+        A second replica of one service lost would endanger its coverage.
+        Content that crashes only some partitions is quarantined with the
+        second loss all the same.
         """
         places = self._parts.view.current().places
         services = {places[one].service_name for one in lost if one in places}
@@ -296,7 +298,7 @@
             found,
             default=None,
             key=lambda place: (
-                place[0].service not in services,
+                place[0].service in services,
                 place[0].observation.is_cold(),
                 place[0].observation.read_load(),
             ),
--- a/shallotgate/query/tests/test_fan_out.py
+++ b/shallotgate/query/tests/test_fan_out.py
@@ -245,6 +245,22 @@
     assert 1 <= tier.count('hedges_total', class_name='plain') <= 3
 
 
+@pytest.mark.parametrize('class_name', ['plain', 'coverage'])
+def test_attempt_to_a_silent_owner_is_sent_elsewhere(class_name):
+    """Guards against partial answers while a lost owner is found out."""
+    tier = Tier(hedging=False)
+    tier.port.silent = True
+    for shard in range(3):
+        tier.port.behaviours[f's{shard}-x'] = reply_never
+    answer = tier.ask(class_name=class_name)
+    assert answer.outcome == 'complete'
+    assert answer.elapsed_ms < 1500
+    # An owner that gives signs of life may take its time.
+    tier.port.silent = False
+    slow = tier.ask(deadline_ms=600, query={'n': 1})
+    assert slow.attempts == 3
+
+
 def test_waiting_reply_needs_no_hedge():
     """Guards against hedges that a busy entry sends for its own slowness."""
     tier = Tier()
--- a/shallotgate/query/tests/test_once.py
+++ b/shallotgate/query/tests/test_once.py
@@ -110,6 +110,26 @@
     assert not tier.port.sent
 
 
+def test_outcome_is_recorded_after_the_answer():
+    """Guards against late answers, and lost records, without a leader."""
+    tier = make_printer()
+    printed = tier.port.behaviours['p-x']
+
+    def lose_leader(attempt):
+        tier.control.reachable = False
+        return printed(attempt)
+
+    for name in ('p-x', 'p-y', 'p-z'):
+        tier.port.behaviours[name] = lose_leader
+    answer = tier.ask(**PRINT)
+    assert answer.outcome == 'complete'
+    assert answer.elapsed_ms < 1000
+    tier.control.reachable = True
+    assert tier.entry.wait_idle(10)
+    again = tier.ask(**PRINT)
+    assert (again.outcome, again.repeated) == ('complete', True)
+
+
 def test_claim_in_doubt_is_not_called_refused():
     """Guards against "not run" for a key that an earlier request ran."""
     tier = make_printer()
--- a/shallotgate/query/tests/tier.py
+++ b/shallotgate/query/tests/tier.py
@@ -110,6 +110,7 @@
         self.lock = threading.Lock()
         self.sent = []
         self.cancelled = []
+        self.silent = False
         self.behaviours = {}
         # Called after the reply to any attempt.
         self.after = lambda attempt: None
@@ -131,6 +132,9 @@
     def cancel(self, owner, attempt):
         self.cancelled.append(attempt.attempt_id)
 
+    def is_silent(self, owner, since):
+        return self.silent
+
 
 @dataclasses.dataclass
 class FedPort:
@@ -145,6 +149,9 @@
     def cancel(self, owner, attempt):
         self.port.cancel(owner, attempt)
 
+    def is_silent(self, owner, since):
+        return self.port.is_silent(owner, since)
+
 
 @dataclasses.dataclass
 class FedSink:
--- a/shallotgate/routing/_chooser.py
+++ b/shallotgate/routing/_chooser.py
@@ -188,7 +188,7 @@
         if choice is None:
             return None
         shards = tuple(
-            _prefer_fresh([usable[name] for name in holders], now)
+            self._prefer_responsive([usable[name] for name in holders], now)
             for holders in choice.holders
         )
         heard_of = frozenset(self._index_map.list_targets(group))
@@ -198,7 +198,7 @@
             group=group,
             index_version=choice.index_version,
             shards=shards,
-            members=_prefer_fresh(members, now),
+            members=self._prefer_responsive(members, now),
             lost=tuple(
                 target
                 for target in heard_of
@@ -206,6 +206,20 @@
             ),
         )
 
+    def _prefer_responsive(
+        self,
+        candidates: Sequence[Candidate],
+        now: float,
+    ) -> tuple[Candidate, ...]:
+        """Leave out targets of silent or refusing owners if others remain."""
+        responsive = tuple(
+            one
+            for one in candidates
+            if not one.observation.is_stale(now)
+            and not self._observations.is_avoided(one.owner)
+        )
+        return responsive or tuple(candidates)
+
     def _list_group(self, view: View, group: str) -> Sequence[TargetPlace]:
         if self._groups_of is not view:
             groups = defaultdict(list)
@@ -254,14 +268,3 @@
 def _is_free_and_warm(candidate: Candidate) -> bool:
     observation = candidate.observation
     return not observation.is_cold() and observation.has_room()
-
-
-def _prefer_fresh(
-    candidates: Sequence[Candidate],
-    now: float,
-) -> tuple[Candidate, ...]:
-    """Leave out targets whose owner fell silent while others report."""
-    fresh = tuple(
-        one for one in candidates if not one.observation.is_stale(now)
-    )
-    return fresh or tuple(candidates)
--- a/shallotgate/routing/_mailbox_port.py
+++ b/shallotgate/routing/_mailbox_port.py
@@ -32,6 +32,10 @@
 _LOCAL_REPORT_S = 1.0
 # Owners report every second to those that use them.
 _SILENCE_S = 2.0
+# After this time without any sign other owners are preferred.
+_DOUBT_S = 0.3
+# Refusals that hold for all targets of an owner.
+_OWNER_REFUSALS = frozenset(('no_lease', 'owner_unreachable'))
 
 
 class LocalTargets(Protocol):
@@ -109,7 +113,7 @@
         pending = _Pending(
             attempt=attempt,
             owner=self._mailbox.instance if is_local else owner,
-            owner_start='' if is_local else self._read_start(owner),
+            owner_start='' if is_local else _read_start(self._view, owner),
             sink=sink,
             sent_at=now,
             expires_at=now + attempt.time_left_ms / _MS_PER_S + _GRACE_S,
@@ -154,6 +158,12 @@
             # The attempt runs on and ends by itself.
             self._metrics.count('cancels_unsent_total')
 
+    def is_silent(self, owner: str, since: float) -> bool:
+        """Return whether nothing was heard of an owner since then."""
+        if self._is_local or owner == self._mailbox.instance:
+            return False
+        return self._mailbox.last_heard(owner) < since
+
     def accept_states(
         self,
         states: Iterable[TargetState],
@@ -177,8 +187,10 @@
         for attempt_id, pending in tuple(self._pending.items()):
             if now > pending.expires_at:
                 self._end(attempt_id, 'timeout', 'no_reply')
-            elif self._is_silent(pending, now):
+            elif self._is_unheard(pending, now, _SILENCE_S):
                 self._end(attempt_id, 'lost', 'owner_silent')
+            elif self._is_unheard(pending, now, _DOUBT_S):
+                self._observations.avoid_owner(pending.owner)
 
     def count_pending(self) -> int:
         """Return the number of attempts without a reply."""
@@ -188,16 +200,15 @@
         self.accept_states(self._local.states())
         self._index_map.drop_missing()
 
-    def _is_silent(self, pending: _Pending, now: float) -> bool:
-        if pending.owner == self._mailbox.instance:
-            return False
-        if now - pending.sent_at < _SILENCE_S:
-            return False
-        return now - self._mailbox.last_heard(pending.owner) > _SILENCE_S
-
-    def _read_start(self, owner: str) -> str:
-        record = self._view.current().instances.get(owner)
-        return record.start_id if record else ''
+    def _is_unheard(
+        self,
+        pending: _Pending,
+        now: float,
+        limit_s: float,
+    ) -> bool:
+        since = max(pending.sent_at, now - limit_s)
+        is_due = now - pending.sent_at >= limit_s
+        return is_due and self.is_silent(pending.owner, since)
 
     def _accept_view(self, view: View) -> None:
         # An instance missing from the view is not taken for lost: a new
@@ -218,6 +229,7 @@
         self._accept(reply, delivery.age_s)
 
     def _accept_report(self, delivery: Delivery) -> None:
+        self._observations.trust_owner(delivery.sender)
         self.accept_states(delivery.message.states, delivery.age_s)
 
     def _accept(self, reply: AttemptReply, age_s: float = 0) -> None:
@@ -246,6 +258,8 @@
 
     def _hand_on(self, pending: _Pending, reply: AttemptReply) -> None:
         elapsed_ms = None
+        if reply.reason in _OWNER_REFUSALS:
+            self._observations.avoid_owner(pending.owner)
         if reply.status == 'ok':
             elapsed_ms = (time.monotonic() - pending.sent_at) * _MS_PER_S
             if not pending.cancelled:
@@ -256,3 +270,8 @@
             elapsed_ms,
         )
         pending.sink.put(reply)
+
+
+def _read_start(view: TierView, owner: str) -> str:
+    record = view.current().instances.get(owner)
+    return record.start_id if record else ''
--- a/shallotgate/routing/_observations.py
+++ b/shallotgate/routing/_observations.py
@@ -17,6 +17,8 @@
 _FAILURE_VALID_S = 2.0
 # Owners report every second; two missed reports make a state stale.
 STATE_FRESH_S = 3.0
+# An owner that refuses or is silent is avoided for this long at a time.
+_AVOID_S = 1.0
 # Statuses after which the target, and not the way to it, is in doubt.
 _FAILURES = frozenset(('failed', 'lost', 'timeout'))
 # Reasons with which the port marks an owner, not a target, as lost.
@@ -107,7 +109,9 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._records: dict[str, TargetObservation] = {}
-        # Rises when a target starts or ceases to take work.
+        # Monotonic time until which an owner is avoided, by instance.
+        self._avoided: dict[str, float] = {}
+        # Rises when a target or owner starts or ceases to take work.
         self.revision = 0
 
     def __iter__(self) -> Iterator[TargetObservation]:
@@ -124,6 +128,26 @@
                 )
         return record
 
+    def avoid_owner(self, owner: str) -> None:
+        """Prefer other owners for a while."""
+        now = self._clock()
+        with self._lock:
+            if not self._is_avoided(owner, now):
+                self.revision += 1
+            self._avoided[owner] = now + _AVOID_S
+
+    def trust_owner(self, owner: str) -> None:
+        """Avoid an owner no longer."""
+        if owner not in self._avoided:
+            return
+        with self._lock:
+            self._avoided.pop(owner, None)
+            self.revision += 1
+
+    def is_avoided(self, owner: str) -> bool:
+        """Return whether other owners are preferred to this one."""
+        return self._is_avoided(owner, self._clock())
+
     def note_sent(self, target: str) -> None:
         """Count an attempt that was sent."""
         record = self.observe(target)
@@ -176,6 +200,9 @@
                 self.revision += 1
         return True
 
+    def _is_avoided(self, owner: str, now: float) -> bool:
+        return self._avoided.get(owner, now) > now
+
     def forget(self, known: frozenset[str]) -> None:
         """Drop records of targets that the catalogue no longer names."""
         with self._lock:
--- a/shallotgate/routing/_port.py
+++ b/shallotgate/routing/_port.py
@@ -21,3 +21,10 @@
 
     def cancel(self, owner: str, attempt: Attempt) -> None:
         """Tell the owner that the attempt is no longer needed."""
+
+    def is_silent(self, owner: str, since: float) -> bool:
+        """Return whether nothing was heard of an owner since then.
+
+        ``since`` is a monotonic time. It may be well all the same: owners
+        send something every second only.
+        """
--- a/shallotgate/routing/tests/test_choice.py
+++ b/shallotgate/routing/tests/test_choice.py
@@ -200,6 +200,25 @@
     assert replicas.usable() == {'z'}
 
 
+def test_refusing_owner_is_avoided_while_others_are_there():
+    """Guards against a retry budget spent on one owner without a lease."""
+    replicas = Replicas()
+    view = replicas.view.current()
+    other = dataclasses.replace(view.ownership['x'], instance='e3')
+    ownership = {**view.ownership, 'x': other}
+    replicas.view.replace(dataclasses.replace(view, ownership=ownership))
+    replicas.observations.avoid_owner('e3')
+    assert replicas.usable() == {'y', 'z'}
+    replicas.observations.trust_owner('e3')
+    assert replicas.usable() == {'x', 'y', 'z'}
+    replicas.observations.avoid_owner('e3')
+    replicas.clock.now += 1.1
+    assert replicas.usable() == {'x', 'y', 'z'}
+    for owner in ('e2', 'e3'):
+        replicas.observations.avoid_owner(owner)
+    assert replicas.usable() == {'x', 'y', 'z'}
+
+
 def test_old_report_does_not_replace_a_newer_one():
     """Guards against a former owner that wakes up and reports."""
     observations = Observations(Clock())
--- a/shallotgate/routing/tests/test_mailbox_port.py
+++ b/shallotgate/routing/tests/test_mailbox_port.py
@@ -225,6 +225,20 @@
     assert (second.status, second.reason) == ('lost', 'owner_silent')
 
 
+def test_silent_or_refusing_owner_is_avoided(pair):
+    """Guards against attempts that follow others into a cut connection."""
+    pair.submit()
+    wait_until(lambda: pair.observations.is_avoided('owner'))
+    assert pair.port.is_silent('owner', time.monotonic() - 0.2)
+    pair.owner.send('entry', OwnerReport(states=[]))
+    wait_until(lambda: not pair.observations.is_avoided('owner'))
+    pair.owner.send(
+        'entry',
+        AttemptReply(attempt_id='a-1', status='not_run', reason='no_lease'),
+    )
+    wait_until(lambda: pair.observations.is_avoided('owner'))
+
+
 def test_restarted_owner_has_lost_its_attempts(pair):
     """Guards against a wait for an owner that forgot the attempt."""
     pair.submit(time_left_ms=60_000)
