Send from the caller's thread where the socket takes it at once

Cause: each message woke the peer's sending thread; under load that switch cost CPU time on both sides. Change: PeerSender hands a message to the socket without waiting and queues it only if the socket does not take it; the thread renews the connection.

--- a/shallotgate/transport/_sender.py
+++ b/shallotgate/transport/_sender.py
@@ -1,4 +1,4 @@
-"""One sending thread for each peer."""
+"""Sending to one peer."""
 
 import queue
 import threading
@@ -13,14 +13,24 @@
 _LOGGER = get_logger('transport')
 # Messages waiting for one peer before sending fails.
 _QUEUE_LIMIT = 4096
+# Messages that the socket takes without waiting.
+_SOCKET_BUFFER = 128
 _SEND_TIMEOUT_MS = 500
+_WATCH_S = 0.5
 # A peer that is sent to but not heard from for this long gets a new
 # connection: after a silent cut TCP would go on waiting in its back-off.
 _SILENCE_S = 2.0
+# Closing a socket drops what it still buffers.
+_LINGER_S = 0.05
 
 
 class PeerSender:
-    """Sends messages to one peer in order, or drops them."""
+    """Sends messages to one peer in order, or drops them.
+
+    The caller's thread hands a message to the socket where that takes it at
+    once, which saves a switch of threads. Otherwise the message is queued
+    for the thread of this peer, which also renews the connection.
+    """
 
     def __init__(
         self,
@@ -32,7 +42,13 @@
         self.address = address
         self._last_heard = last_heard
         self._queue: queue.Queue[bytes | None] = queue.Queue(_QUEUE_LIMIT)
-        self._stopped = threading.Event()
+        self._lock = threading.Lock()
+        # Messages queued or in the hands of the thread.
+        self._backlog = 0
+        self._dialled_at = float('-inf')
+        self._sent_at = float('-inf')
+        self._is_stopping = False
+        self._socket = self._dial()
         self._thread = threading.Thread(
             target=self._run,
             name=f'send-{peer}',
@@ -41,57 +57,77 @@
         self._thread.start()
 
     def send(self, encoded: bytes) -> None:
-        """Queue a message; raises ``PeerUnreachableError`` if full."""
-        try:
-            self._queue.put_nowait(encoded)
-        except queue.Full as error:
-            raise PeerUnreachableError(
-                f'send queue of peer {self.peer} is full',
-            ) from error
+        """Send or queue a message; raises ``PeerUnreachableError`` if full."""
+        with self._lock:
+            if not self._backlog and self._try_send(encoded):
+                return
+            try:
+                self._queue.put_nowait(encoded)
+            except queue.Full as error:
+                raise PeerUnreachableError(
+                    f'send queue of peer {self.peer} is full',
+                ) from error
+            self._backlog += 1
 
     def stop(self) -> None:
         """Send what is queued and close the connection."""
+        self._is_stopping = True
         try:
             self._queue.put(None, timeout=1)
         except queue.Full:
-            self._stopped.set()
+            _LOGGER.info('Messages dropped.', extra={'peer': self.peer})
         self._thread.join(timeout=2)
 
+    def _try_send(self, encoded: bytes) -> bool:
+        try:
+            self._socket.send(encoded, block=False)
+        except pynng.NNGException:
+            return False
+        self._sent_at = time.monotonic()
+        return True
+
     def _run(self) -> None:
-        while not self._stopped.is_set():
-            socket = self._dial()
+        while not self._is_stopping or self._backlog:
             try:
-                self._send_until_silent(socket)
-            except pynng.NNGException:
-                _LOGGER.info('Sending failed.', extra={'peer': self.peer})
-            finally:
-                socket.close()
+                encoded = self._queue.get(timeout=_WATCH_S)
+            except queue.Empty:
+                self._watch()
+                continue
+            if encoded is None:
+                break
+            self._send_waiting(encoded)
+            self._watch()
+        time.sleep(_LINGER_S)
+        self._socket.close()
+
+    def _send_waiting(self, encoded: bytes) -> None:
+        try:
+            self._socket.send(encoded)
+        except pynng.NNGException:
+            # The peer does not take messages; this one is dropped.
+            self._redial()
+        else:
+            self._sent_at = time.monotonic()
+        with self._lock:
+            self._backlog -= 1
+
+    def _watch(self) -> None:
+        heard_at = max(self._last_heard(self.peer), self._dialled_at)
+        if self._sent_at - heard_at > _SILENCE_S:
+            self._redial()
+
+    def _redial(self) -> None:
+        with self._lock:
+            self._socket.close()
+            self._socket = self._dial()
 
     def _dial(self) -> pynng.Push0:
+        self._dialled_at = time.monotonic()
         socket = pynng.Push0(
             send_timeout=_SEND_TIMEOUT_MS,
-            send_buffer_size=64,
+            send_buffer_size=_SOCKET_BUFFER,
             reconnect_time_min=50,
             reconnect_time_max=500,
         )
         socket.dial(f'tcp://{self.address}', block=False)
         return socket
-
-    def _send_until_silent(self, socket: pynng.Push0) -> None:
-        dialled_at = time.monotonic()
-        while True:
-            encoded = self._queue.get()
-            if encoded is None:
-                self._stopped.set()
-                # Closing drops what the socket still buffers.
-                time.sleep(0.05)
-                return
-            try:
-                socket.send(encoded)
-            except pynng.Timeout:
-                # The peer does not take messages; this one is dropped.
-                return
-            now = time.monotonic()
-            heard_at = max(self._last_heard(self.peer), dialled_at)
-            if now - heard_at > _SILENCE_S:
-                return
