--- a/shallotgate/consensus/tests/cluster.py
+++ b/shallotgate/consensus/tests/cluster.py
@@ -1,6 +1,7 @@
 """Members of a group in one process, with cuts and restarts."""
 
 import contextlib
+import queue
 import random
 import shutil
 import socket
@@ -9,9 +10,10 @@
 from pathlib import Path
 
 from shallotgate.consensus import ConsensusTimes, ReplicatedLog
+from shallotgate.generated.messages import Vote, VoteReply
 from shallotgate.generated.settings import Member
 from shallotgate.timers import TimerService
-from shallotgate.transport import Mailbox
+from shallotgate.transport import Delivery, Mailbox
 
 PORTS = random.SystemRandom()
 
@@ -142,5 +144,38 @@
     def wait_leader(self, timeout_s: float = 10) -> Node:
         return wait_for(self.find_leader, timeout_s)
 
+    def open_probe(self, name: str) -> Mailbox:
+        """Return a started mailbox in place of a stopped member."""
+        probe = Mailbox(name, 'probe', self.addresses[name])
+        for other, address in self.addresses.items():
+            probe.learn(other, address)
+        probe.start()
+        return probe
+
     def propose(self, command: bytes, timeout_s: float = 5) -> object:
         return self.wait_leader().log.propose(command, timeout_s)
+
+
+def ask_vote(
+    probe: Mailbox,
+    name: str,
+    last: tuple[int, int],
+    term: int = 99,
+    identity: str = 'probe',
+) -> bool:
+    """Ask for a vote as a candidate with a last index and its term.
+
+    The vote counts as a transfer, so that the answer does not depend on
+    whether a leader was heard.
+    """
+    replies: queue.SimpleQueue[Delivery] = queue.SimpleQueue()
+    probe.subscribe(VoteReply, replies.put)
+    vote = Vote(
+        term=term,
+        identity=identity,
+        last_index=last[0],
+        last_term=last[1],
+        transfer=True,
+    )
+    probe.send(name, vote)
+    return bool(replies.get(timeout=5).message.granted)
--- a/shallotgate/consensus/tests/test_disks.py
+++ b/shallotgate/consensus/tests/test_disks.py
@@ -1,4 +1,3 @@
-import queue
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -6,16 +5,13 @@
 import pytest
 
 from shallotgate.consensus import SYNC_FAILED_EXIT_STATUS, ConsensusTimes
-from shallotgate.consensus.tests.cluster import wait_for
+from shallotgate.consensus.tests.cluster import ask_vote, wait_for
 from shallotgate.errors import ConsensusError
 from shallotgate.generated.messages import (
     FoundGroup,
     MemberIdentity,
     MemberList,
-    Vote,
-    VoteReply,
 )
-from shallotgate.transport import Mailbox
 
 SMALL_TIMES = ConsensusTimes(
     snapshot_records=50,
@@ -37,39 +33,16 @@
     return commands
 
 
-def open_probe(cluster, name):
-    probe = Mailbox(name, 'probe', cluster.addresses[name])
-    for other, address in cluster.addresses.items():
-        probe.learn(other, address)
-    return probe
-
-
-def ask_vote(probe, name):
-    replies = queue.SimpleQueue()
-    probe.subscribe(VoteReply, replies.put)
-    # A transfer, so that the answer does not depend on known leaders.
-    vote = Vote(
-        term=99,
-        identity='probe',
-        last_index=10**6,
-        last_term=98,
-        transfer=True,
-    )
-    probe.send(name, vote)
-    return replies.get(timeout=5).message.granted
-
-
 def test_wiped_disk_under_an_old_address_gets_no_vote(cluster):
     """Guards against a vote that was forgotten with the disk."""
     cluster.propose(b'x')
     cluster.stop()
     cluster.wipe('c')
     cluster.start('b', 'c')
-    probe = open_probe(cluster, 'a')
-    probe.start()
+    probe = cluster.open_probe('a')
     try:
-        assert not ask_vote(probe, 'c')
-        assert ask_vote(probe, 'b')
+        assert not ask_vote(probe, 'c', last=(10**6, 98))
+        assert ask_vote(probe, 'b', last=(10**6, 98))
     finally:
         probe.stop()
     assert cluster.nodes['c'].log.status().role == 'learner'
@@ -83,8 +56,7 @@
     cluster.start('b', 'c')
     identity = cluster.nodes['b'].log.status().identity
     group = [MemberIdentity(instance='b', identity=identity, voter=True)]
-    probe = open_probe(cluster, 'a')
-    probe.start()
+    probe = cluster.open_probe('a')
 
     def ask(name, founder, members=()):
         request = FoundGroup(
