Test that former terms commit only with a record of this term

Change: a stand-in member elects a follower and acknowledges records of the former term only.

Conclusion: the rule is covered.

--- a/shallotgate/consensus/tests/test_follower.py
+++ b/shallotgate/consensus/tests/test_follower.py
@@ -1,7 +1,15 @@
 import pytest
 
 from shallotgate.consensus.tests.cluster import ask_vote, wait_for
-from shallotgate.generated.messages import Append, LogRecord
+from shallotgate.generated.messages import (
+    Append,
+    AppendReply,
+    LogRecord,
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+)
 
 
 def make_records(term, first, commands):
@@ -104,3 +112,61 @@
     assert probe.append(50, base, records[:1]).match_index == probe.last + 1
     assert probe.node.log.status().last_index == probe.last + 2
     wait_for(lambda: probe.node.machine.items == [b'x', b'one', b'two'])
+
+
+class StandIn:
+    """Elects b in the name of a and holds records up to a chosen index."""
+
+    def __init__(self, probe, held):
+        self.held = held
+        self.mailbox = probe.mailbox
+        self.rounds = set()
+        self.identity = next(
+            each.identity
+            for each in probe.node.log.status().members
+            if each.instance == 'a'
+        )
+        self.mailbox.subscribe(PreVote, self.answer_pre_vote)
+        self.mailbox.subscribe(Vote, self.answer_vote)
+        self.mailbox.subscribe(Append, self.answer_append)
+
+    def answer_pre_vote(self, delivery):
+        reply = PreVoteReply(
+            term=delivery.message.term - 1,
+            identity=self.identity,
+            granted=True,
+            asked_term=delivery.message.term,
+        )
+        self.mailbox.send(delivery.sender, reply)
+
+    def answer_vote(self, delivery):
+        reply = VoteReply(
+            term=delivery.message.term, identity=self.identity, granted=True
+        )
+        self.mailbox.send(delivery.sender, reply)
+
+    def answer_append(self, delivery):
+        self.rounds.add(delivery.message.round)
+        reply = AppendReply(
+            term=delivery.message.term,
+            identity=self.identity,
+            success=True,
+            match_index=self.held,
+            round=delivery.message.round,
+        )
+        self.mailbox.reply(delivery, reply)
+
+
+def test_records_of_former_terms_commit_with_one_of_this_term(probe):
+    """Guards against a commit that a later leader may still replace."""
+    former = probe.last + 1
+    records = make_records(probe.term + 1, former, [b'former'])
+    probe.append(probe.term + 1, (probe.last, probe.term), records)
+    stand_in = StandIn(probe, held=former)
+    wait_for(lambda: len(stand_in.rounds) > 3)
+    status = probe.node.log.status()
+    assert (status.role, status.commit) == ('leader', probe.last)
+    assert not probe.node.log.is_leading()
+    stand_in.held = former + 1
+    wait_for(lambda: probe.node.log.status().commit == former + 1)
+    wait_for(probe.node.log.is_leading)
