--- a/shallotgate/consensus/_applier.py
+++ b/shallotgate/consensus/_applier.py
@@ -6,6 +6,7 @@
 from shallotgate.consensus._group import encode_group
 from shallotgate.consensus._leadership import Proposal
 from shallotgate.consensus._machine import StateMachine
+from shallotgate.consensus._worker import exit_on_failed_sync
 from shallotgate.errors import CommitUnknownError, NotLeaderError
 from shallotgate.generated.messages import LogRecord
 from shallotgate.invariants import check
@@ -25,8 +26,8 @@
         self._core = core
         self._machine = machine
         self._is_stopped = False
-        # Index of the last snapshot that was taken or received.
-        self._snapshot_index = 0
+        # Thread that stores a snapshot, until the worker has adopted it.
+        self._storing: threading.Thread | None = None
         self._thread = threading.Thread(
             target=self._run,
             name='apply',
@@ -37,7 +38,6 @@
         """Restore the machine and start the thread."""
         if snapshot.index:
             self._machine.restore(snapshot.state)
-        self._snapshot_index = snapshot.index
         self._thread.start()
 
     def stop(self) -> None:
@@ -46,6 +46,9 @@
             self._is_stopped = True
             self._core.changed.notify_all()
         self._thread.join(_JOIN_S)
+        storing = self._storing
+        if storing is not None:
+            storing.join(_JOIN_S)
         self._fail_proposals(self._core.journal.last_index)
 
     def _run(self) -> None:
@@ -79,7 +82,6 @@
         if snapshot.index <= core.applied:
             return
         self._machine.restore(snapshot.state)
-        self._snapshot_index = snapshot.index
         with core.changed:
             core.applied = snapshot.index
             core.changed.notify_all()
@@ -146,9 +148,9 @@
     def _take_snapshot(self) -> None:
         core = self._core
         applied = core.applied
-        if applied - self._snapshot_index < core.times.snapshot_records:
+        behind = applied - core.journal.snapshot.index
+        if self._storing or behind < core.times.snapshot_records:
             return
-        self._snapshot_index = applied
         with core.changed:
             term = core.journal.term_at(applied)
             if term is None:
@@ -161,4 +163,23 @@
             members=encode_group(group),
             state=self._machine.snapshot(),
         )
-        core.worker.post(lambda: core.save_snapshot(snapshot))
+        # All members take snapshots at about the same index. On the worker,
+        # a long write would keep a majority from answering the leader.
+        self._storing = threading.Thread(
+            target=self._store,
+            args=(snapshot,),
+            name='snapshot',
+            daemon=True,
+        )
+        self._storing.start()
+
+    def _store(self, snapshot: Snapshot) -> None:
+        with exit_on_failed_sync():
+            self._core.folder.stage_snapshot(snapshot)
+        self._core.worker.post(lambda: self._adopt(snapshot))
+
+    def _adopt(self, snapshot: Snapshot) -> None:
+        try:
+            self._core.adopt_snapshot(snapshot)
+        finally:
+            self._storing = None
--- a/shallotgate/consensus/_core.py
+++ b/shallotgate/consensus/_core.py
@@ -164,11 +164,11 @@
             self.journal.install(snapshot)
             self.advance_commit(snapshot.index)
 
-    def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Store this member's own snapshot and compact; worker only."""
+    def adopt_snapshot(self, snapshot: Snapshot) -> None:
+        """Use this member's own staged snapshot and compact; worker only."""
         if snapshot.index <= self.journal.snapshot.index:
             return
-        self.folder.write_snapshot(snapshot)
+        self.folder.adopt_staged_snapshot()
         self.journal.snapshot = snapshot
         base_index = max(
             self.journal.base_index,
--- a/shallotgate/storage/_folder.py
+++ b/shallotgate/storage/_folder.py
@@ -9,7 +9,11 @@
 
 import msgspec
 
-from shallotgate.errors import DamagedFileError, StorageError
+from shallotgate.errors import (
+    DamagedFileError,
+    StorageError,
+    SyncFailedError,
+)
 from shallotgate.storage._files import (
     frame,
     replace_file,
@@ -59,6 +63,7 @@
         self._vote_path = self.path / 'vote'
         self._identity_path = self.path / 'identity'
         self._snapshot_path = self.path / 'snapshot'
+        self._staged_path = self.path / 'snapshot.staged'
         self._lock = -1
 
     def open(self) -> list[bytes]:
@@ -104,6 +109,21 @@
         """Store a snapshot durably in place of the former one."""
         self._write(self._snapshot_path, snapshot)
 
+    def stage_snapshot(self, snapshot: Snapshot) -> None:
+        """Store a snapshot durably beside the present one.
+
+        It may take long, so it may run on another thread than the rest.
+        """
+        self._write(self._staged_path, snapshot)
+
+    def adopt_staged_snapshot(self) -> None:
+        """Put the staged snapshot in place of the present one."""
+        try:
+            self._staged_path.replace(self._snapshot_path)
+        except OSError as error:
+            raise SyncFailedError(f'{self._staged_path}: {error}') from error
+        sync_folder(self.path)
+
     def _take_lock(self) -> None:
         descriptor = os.open(self.path / 'lock', os.O_RDWR | os.O_CREAT, 0o600)
         try:
--- a/shallotgate/storage/tests/test_storage.py
+++ b/shallotgate/storage/tests/test_storage.py
@@ -124,6 +124,19 @@
     again.close()
 
 
+def test_staged_snapshot_counts_once_it_is_adopted(tmp_path):
+    """Guards against a half-taken snapshot in place of the present one."""
+    folder = DataFolder(tmp_path)
+    folder.open()
+    present, staged = (Snapshot(each, 1, b'm', b's') for each in (4, 9))
+    folder.write_snapshot(present)
+    folder.stage_snapshot(staged)
+    assert folder.read_snapshot() == present
+    folder.adopt_staged_snapshot()
+    assert folder.read_snapshot() == staged
+    folder.close()
+
+
 def test_two_processes_cannot_share_a_folder(tmp_path):
     """Guards against two processes with one vote."""
     folder = DataFolder(tmp_path)
