Spread targets over the entries of a domain

Within a domain the loads were only bounded by the average of the whole tier: with 7 entries and the 83 targets of the clearing the loads were 6 to 14, two of them in a domain with a mean of 9.

The cost of an owner now also counts targets above 1.25 times the mean of its domain.

--- a/shallotgate/control/_assignment.py
+++ b/shallotgate/control/_assignment.py
@@ -1,7 +1,7 @@
 """Which entry should own which target."""
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -42,6 +42,29 @@
     return max(candidates, key=lambda candidate: _score(target, candidate))
 
 
+def _bound(targets: int, entries: int) -> int:
+    """Return the largest number of targets for each of some entries.
+
+    >>> _bound(10, 4), _bound(20, 4)
+    (3, 6)
+    """
+    average = targets / entries
+    return max(math.floor(average * _LOAD_BOUND), math.ceil(average))
+
+
+def _find_near_limits(
+    places: Iterable[TargetPlace],
+    candidates: Sequence[Candidate],
+) -> dict[str, int]:
+    """Return the bound for entries of each domain, from its own targets."""
+    targets = Counter(place.target.domain for place in places)
+    entries = Counter(candidate.domain for candidate in candidates)
+    return {
+        domain: _bound(targets[domain], count)
+        for domain, count in entries.items()
+    }
+
+
 # What an owner costs, the gravest part first; see ``_Assignment.cost``.
 _Cost = tuple[int, ...]
 
@@ -59,11 +82,12 @@
         self,
         candidates: Sequence[Candidate],
         firsts: Mapping[str, Candidate],
+        near_limits: Mapping[str, int],
     ) -> None:
         self._candidates = candidates
         self._firsts = firsts
-        average = len(firsts) / len(candidates)
-        self._limit = max(math.floor(average * _LOAD_BOUND), math.ceil(average))
+        self._limit = _bound(len(firsts), len(candidates))
+        self._near_limits = near_limits
         self.chosen: dict[str, Candidate] = {}
         # By owner and target name.
         self._owned: defaultdict[Owner, dict[str, TargetPlace]]
@@ -99,7 +123,7 @@
 
         The parts are: above the bound, outside the target's domain, replicas
         owned from the same domain without being there, replicas with the same
-        owner, and not the first choice.
+        owner, and the bound of the domain with the first choice.
         """
         is_near = candidate.domain == place.target.domain
         crowded = 0
@@ -109,12 +133,15 @@
                 is_home = is_near and sibling.domain == target.domain
                 crowded += int(not is_home)
                 doubled += int(sibling.owner == candidate.owner)
+        load = len(self._owned[candidate.owner])
+        is_full = load >= self._near_limits[candidate.domain]
+        is_first = candidate == self._firsts[place.target.name]
         return (
-            int(len(self._owned[candidate.owner]) >= self._limit),
+            int(load >= self._limit),
             int(not is_near),
             crowded,
             doubled,
-            int(candidate != self._firsts[place.target.name]),
+            2 * int(is_full) + int(not is_first),
         )
 
     def _lift(self, place: TargetPlace) -> tuple[Candidate, _Cost]:
@@ -237,7 +264,11 @@
         places.values(),
         key=lambda place: (place.service_name, place.target.name),
     )
-    assignment = _Assignment(candidates, _find_firsts(ordered, candidates))
+    assignment = _Assignment(
+        candidates,
+        _find_firsts(ordered, candidates),
+        _find_near_limits(ordered, candidates),
+    )
     by_owner = {entry.owner: entry for entry in candidates}
     new = []
     for place in ordered:
