Keep short deadlines and sheds from misleading the limiter

Without any injected fault the target stayed at one slot: timeouts of 20 ms deadlines halved the limit again and again, and cancellations ended the run of successes. A shedding target was asked again after each shed. A target that drains repeatedly was kept out longer each time.

Change: a timeout reduces the limit at once only after ten times the normal latency, else it counts as a slow reply; cancelled and refused attempts don't end the run of successes; growth halves the back-off. The rest of a shedding cold target doubles with each shed. The hold after a drain starts anew once a reply shows that the drain ended. The stand-in no longer logs an error when a client closes within a request.

--- a/shallotgate/targets/_core.py
+++ b/shallotgate/targets/_core.py
@@ -16,7 +16,10 @@
 _QUEUE_PER_SLOT = 8
 _SHORTEST_QUEUE = 16
 # The half-use rest of a cold slot is as long as its attempt, up to this.
-_LONGEST_REST_S = 1.0
+_LONGEST_REST_S = 0.5
+# A shed is answered at once, so that its duration is no measure of the rest
+# that the target needs: the rest doubles with each shed in a row.
+_SHED_REST_S = 0.01
 # A failed connection is followed by the next one after this time.
 _RECONNECT_S = 0.1
 
@@ -70,6 +73,8 @@
         self._gate = gate
         # No dispatch before this monotonic time.
         self._rest_until = float(0)
+        # Attempts shed in a row.
+        self._sheds = 0
 
     def refuse_entry(self, work: Work) -> str:
         """Return why an attempt may not be queued, or an empty string."""
@@ -156,9 +161,13 @@
             attempt = work.attempt
             self.seen.deny(attempt.index_version, attempt.partition, now)
         self._feed_limiter(work, outcome)
+        is_shed = outcome.reason == 'shed'
+        self._sheds = self._sheds + 1 if is_shed else 0
         if self.limiter.is_half:
-            rest_s = min(outcome.service_ms / _MS_PER_S, _LONGEST_REST_S)
-            self._rest_until = now + rest_s
+            rest_s = outcome.service_ms / _MS_PER_S
+            if is_shed:
+                rest_s = _SHED_REST_S * 2**self._sheds
+            self._rest_until = now + min(rest_s, _LONGEST_REST_S)
 
     def make_state(self) -> TargetState:
         """Return what entries are told of the target."""
@@ -200,7 +209,8 @@
         if outcome.reason == 'shed':
             limiter.note_shed()
             return
-        limiter.note_failure()
+        if outcome.status in {'failed', 'lost'}:
+            limiter.note_failure()
         is_slow = limiter.is_slow(outcome.service_ms)
         if outcome.status == 'cancelled' and is_slow:
             # The cancelled loser of a hedge shows slowness.
@@ -210,4 +220,5 @@
         limiter = self.limiter
         rounds = len(self.queue) / limiter.limit
         rests = 2 if limiter.is_half else 1
-        return rounds * limiter.latency_ms * rests
+        rest_ms = max(self.get_rest_s(), 0) * _MS_PER_S
+        return rest_ms + rounds * limiter.latency_ms * rests
--- a/shallotgate/targets/_limiter.py
+++ b/shallotgate/targets/_limiter.py
@@ -20,6 +20,9 @@
 _COLD_SLOW_FACTOR = 2.0
 _COLD_SLOW_MARGIN_MS = 4.0
 _COLD_SLOW_RUN = 2
+# A target that has not answered for this many times the normal latency is
+# overloaded, without further evidence.
+_TIMEOUT_FACTOR = 10.0
 # Where noise alone makes replies slow, a run of them must be so long that
 # noise produces it less often than this. With fixed runs a target on a busy
 # machine was halved again and again and never became warm.
@@ -89,8 +92,7 @@
         factor, margin_ms = _SLOW_FACTOR, _SLOW_MARGIN_MS
         if self.is_cold:
             factor, margin_ms = _COLD_SLOW_FACTOR, _COLD_SLOW_MARGIN_MS
-        threshold_ms = max(self.normal_ms * factor, self.normal_ms + margin_ms)
-        return self.normal_ms > 0 and service_ms > threshold_ms
+        return self._exceeds(service_ms, factor, margin_ms)
 
     def note_success(self, service_ms: float, load: int) -> None:
         """Learn from a reply; ``load`` is what ran when it was sent."""
@@ -139,9 +141,14 @@
             self.turn_cold()
 
     def note_timeout(self, given_ms: float) -> None:
-        """Reduce the limit unless the time given was too short anyway."""
-        if self.normal_ms == 0 or self.is_slow(given_ms):
+        """Reduce the limit unless the time given was too short anyway.
+
+        A caller's short deadline shows no more than a slow reply does.
+        """
+        if not self.normal_ms or self._exceeds(given_ms, _TIMEOUT_FACTOR, 0):
             self._halve()
+        elif self.is_slow(given_ms):
+            self.note_slow()
 
     def _note_slow_rate(self, is_slow: bool) -> None:
         rate = self._slow_rate
@@ -156,6 +163,16 @@
         weight = _NORMAL_FALL_WEIGHT if falling else _NORMAL_RISE_WEIGHT
         self.normal_ms += weight * (service_ms - self.normal_ms)
 
+    def _exceeds(
+        self,
+        service_ms: float,
+        factor: float,
+        margin_ms: float,
+    ) -> bool:
+        normal_ms = self.normal_ms
+        threshold_ms = max(normal_ms * factor, normal_ms + margin_ms)
+        return normal_ms > 0 and service_ms > threshold_ms
+
     def _needed_run(self) -> int:
         beyond = not self.is_half and self.limit >= self._cold_slots
         factor = 2 if beyond else 1
@@ -167,8 +184,7 @@
             self.is_half = False
         else:
             self.limit += 1
-        if not self.is_cold:
-            self._backoff = 1
+        self._backoff = max(self._backoff // 2, 1)
 
     def _halve(self) -> None:
         if not self._cold_start:
--- a/shallotgate/targets/_observation.py
+++ b/shallotgate/targets/_observation.py
@@ -45,10 +45,13 @@
                     _MAX_DRAIN_HOLD_S,
                 )
             self.draining = True
+            self._drain_uptime_ms = report.uptime_ms
             self._drain_until = now + self._drain_hold_s
         elif report.uptime_ms > self._drain_uptime_ms:
             # Said later than whatever claimed that it drains.
             self.draining = False
+            self._drain_until = float('-inf')
+            self._drain_hold_s = _DRAIN_HOLD_S
         return restarted
 
     def see_report(self, report: TargetReport, now: float) -> bool:
--- a/shallotgate/targets/_owned.py
+++ b/shallotgate/targets/_owned.py
@@ -39,6 +39,10 @@
     Each submitted attempt gets exactly one reply, on the thread that ends
     it. ``on_release`` is called once all connections to a target that is
     moved away are closed.
+
+    ``entries`` is the number of entry instances among which policy
+    ``limits: split`` divides the slots. ``max_attempt_ms`` bounds the time of
+    each attempt, in milliseconds.
     """
 
     def __init__(  # noqa: WPS211 - the composition root names each part
@@ -224,7 +228,10 @@
     def _sweep(self) -> None:
         now = time.monotonic()
         for pool in self._pools.list_all():
-            pool.sweep(now)
+            # Read without the lock: an idle pool costs nothing, and an
+            # attempt added meanwhile is seen by the next sweep.
+            if pool.core.running or len(pool.core.queue):
+                pool.sweep(now)
 
     def _deliver(
         self,
--- a/shallotgate/targets/tests/test_limiter.py
+++ b/shallotgate/targets/tests/test_limiter.py
@@ -87,6 +87,7 @@
     """Guards against limits reduced by impatient callers."""
     limiter = make_warm()
     limiter.note_timeout(4)
+    limiter.note_timeout(18)
     assert limiter.limit == 4
     limiter.note_timeout(100)
     assert limiter.limit == 2
@@ -117,6 +118,30 @@
     assert not seen.draining
 
 
+def test_drain_that_ended_leaves_no_longer_hold():
+    """Guards against a target kept out longer after each ordinary drain."""
+    seen = Observation()
+    for number in range(6):
+        start_ms = number * 20_000
+        seen.see_reply(make_report(start_ms + 1000, draining=True), start_ms)
+        seen.see_report(make_report(start_ms + 7000), start_ms + 6)
+        assert not seen.draining
+        seen.see_reply(make_report(start_ms + 8000), start_ms + 7)
+
+
+def test_false_report_is_believed_less_each_time():
+    """Guards against steady work for a target whose reports hide a drain."""
+    seen = Observation()
+    now, probes = 0, 0
+    while now < 300:
+        if not seen.draining:
+            probes += 1
+            seen.see_reply(make_report(now * 1000 + 1, draining=True), now)
+        now += 1
+        seen.see_report(make_report(now * 1000), now)
+    assert probes <= 7
+
+
 def test_false_drain_report_is_refuted_by_a_later_reply():
     """Guards against a misleading report that takes a target out."""
     seen = Observation()
@@ -133,3 +158,18 @@
     assert not seen.see_reply(make_report(90_100), 0)
     assert seen.see_reply(make_report(50), 1)
     assert seen.see_report(make_report(60, 'other'), 2)
+
+
+def test_short_deadlines_do_not_keep_a_target_cold():
+    """Guards against limits that fall with each impatient caller."""
+    seed = random.randrange(2**32)
+    print(f'seed {seed}')
+    rng = random.Random(seed)
+    limiter = Limiter(3, 1, cold_start=True)
+    warm = 0
+    for _ in range(3000):
+        feed(limiter, 5)
+        if rng.random() < 0.03:
+            limiter.note_timeout(rng.uniform(1, 20))
+        warm += not limiter.is_cold
+    assert warm > 2000
--- a/shallotgate/targets/tests/test_owned.py
+++ b/shallotgate/targets/tests/test_owned.py
@@ -116,6 +116,18 @@
     assert rig.state().limit == 1
 
 
+def test_shedding_target_is_not_asked_again_and_again(make_rig):
+    """Guards against load on a target by attempts that it refuses."""
+    rig = make_rig()
+    rig.edge.script = lambda attempt: 'shed'
+    until = time.monotonic() + 1
+    while time.monotonic() < until:
+        rig.run()
+    assert len(rig.edge.started) <= 7
+    rig.edge.script = lambda attempt: 'ok'
+    wait_until(lambda: rig.run().status == 'ok', 'the target')
+
+
 @pytest.mark.parametrize(
     ('start_id', 'limit'), [('target-start-1', 2), ('another', 1)]
 )
--- a/testkit/standin/_server.py
+++ b/testkit/standin/_server.py
@@ -85,7 +85,11 @@
             head = reader.readline().split()
             if not head:
                 return
-            body = reader.read(_read_length(reader))
+            length = _read_length(reader)
+            body = reader.read(length)
+            if len(body) < length:
+                # The client closed in the middle of its request.
+                return
             reply = self._answer(client, head[0], head[1], body)
             if reply is None:
                 return
