Judge owners by their replies, not by any message

Cause: where only the way to an owner is cut, its reports still came in, so the soak's one-way cuts left attempts waiting until the deadline. Change: an owner that replied to no attempt for 0.3 s, or three times what attempts usually take, is avoided, and its attempts get a second one. The count of pending attempts is a gauge.

--- a/shallotgate/query/_extra.py
+++ b/shallotgate/query/_extra.py
@@ -4,9 +4,11 @@
 from shallotgate.query._task import MS_PER_S, QueryParts, Task, Usage
 from shallotgate.routing import Candidate
 
-# An attempt to an owner without any sign of life is sent elsewhere after
-# this time, well before the deadlines of most classes.
+# An attempt to an owner that replies to none is sent elsewhere after this
+# time, well before the deadlines of most classes, or this multiple of what
+# slow attempts take.
 STALL_S = 0.3
+_STALL_FACTOR = 3
 
 
 class ExtraAttempts:
@@ -19,13 +21,8 @@
 
     def read_slow_s(self, candidate: Candidate) -> float:
         """Return the age after which an attempt is hedged, in seconds."""
-        if not self._is_hedged:
-            return float('inf')
-        slow_ms = self._parts.latency.quantile_ms(
-            candidate.service,
-            self._parts.policy.hedge_quantile,
-        )
-        return float('inf') if slow_ms is None else slow_ms / MS_PER_S
+        slow_ms = self._read_quantile_ms(candidate) if self._is_hedged else 0
+        return slow_ms / MS_PER_S if slow_ms else float('inf')
 
     def is_slow(self, sent: Sent, now: float) -> bool:
         """Return whether an attempt may be hedged."""
@@ -33,7 +30,11 @@
 
     def is_stalled(self, sent: Sent, now: float) -> bool:
         """Return whether an attempt's owner may be lost."""
-        if now - sent.sent_at < STALL_S:
+        age_s = now - sent.sent_at
+        if age_s < STALL_S:
+            return False
+        usual_ms = self._read_quantile_ms(sent.candidate)
+        if age_s * MS_PER_S < _STALL_FACTOR * usual_ms:
             return False
         return self._parts.port.is_silent(sent.candidate.owner, sent.sent_at)
 
@@ -50,3 +51,11 @@
             self._usage.hedges += 1
             return True
         return False
+
+    def _read_quantile_ms(self, candidate: Candidate) -> float:
+        """Return the latency of slow attempts, 0 if unknown."""
+        slow_ms = self._parts.latency.quantile_ms(
+            candidate.service,
+            self._parts.policy.hedge_quantile,
+        )
+        return slow_ms or 0
--- a/shallotgate/routing/_mailbox_port.py
+++ b/shallotgate/routing/_mailbox_port.py
@@ -32,8 +32,11 @@
 _LOCAL_REPORT_S = 1.0
 # Owners report every second to those that use them.
 _SILENCE_S = 2.0
-# After this time without any sign other owners are preferred.
+# After this time without a reply to any attempt, and this multiple of what
+# attempts usually take, other owners are preferred.
 _DOUBT_S = 0.3
+_DOUBT_FACTOR = 3
+_USUAL_QUANTILE = 0.95
 # Refusals that hold for all targets of an owner.
 _OWNER_REFUSALS = frozenset(('no_lease', 'owner_unreachable'))
 
@@ -96,7 +99,10 @@
         self._latency = latency
         self._metrics = metrics
         self._is_local = limits != 'owner'
+        metrics.gauge('attempts_pending', lambda: len(self._pending))
         self._pending: dict[str, _Pending] = {}
+        # Monotonic time of the last reply to an attempt, by owner.
+        self._replied_at: dict[str, float] = {}
 
     def start(self, timers: TimerService) -> None:
         """Subscribe to messages, views and the timer; before the mailbox."""
@@ -159,10 +165,10 @@
             self._metrics.count('cancels_unsent_total')
 
     def is_silent(self, owner: str, since: float) -> bool:
-        """Return whether nothing was heard of an owner since then."""
+        """Return whether an owner replied to no attempt since then."""
         if self._is_local or owner == self._mailbox.instance:
             return False
-        return self._mailbox.last_heard(owner) < since
+        return self._replied_at.get(owner, float('-inf')) < since
 
     def accept_states(
         self,
@@ -187,28 +193,32 @@
         for attempt_id, pending in tuple(self._pending.items()):
             if now > pending.expires_at:
                 self._end(attempt_id, 'timeout', 'no_reply')
-            elif self._is_unheard(pending, now, _SILENCE_S):
-                self._end(attempt_id, 'lost', 'owner_silent')
-            elif self._is_unheard(pending, now, _DOUBT_S):
-                self._observations.avoid_owner(pending.owner)
-
-    def count_pending(self) -> int:
-        """Return the number of attempts without a reply."""
-        return len(self._pending)
+            elif pending.owner != self._mailbox.instance:
+                self._sweep_remote(pending, now)
 
     def _refresh(self) -> None:
         self.accept_states(self._local.states())
         self._index_map.drop_missing()
 
-    def _is_unheard(
-        self,
-        pending: _Pending,
-        now: float,
-        limit_s: float,
-    ) -> bool:
-        since = max(pending.sent_at, now - limit_s)
-        is_due = now - pending.sent_at >= limit_s
-        return is_due and self.is_silent(pending.owner, since)
+    def _sweep_remote(self, pending: _Pending, now: float) -> None:
+        heard_at = self._mailbox.last_heard(pending.owner)
+        if now - max(pending.sent_at, heard_at) > _SILENCE_S:
+            self._end(pending.attempt.attempt_id, 'lost', 'owner_silent')
+        elif self._is_doubtful(pending, now):
+            self._observations.avoid_owner(pending.owner)
+
+    def _is_doubtful(self, pending: _Pending, now: float) -> bool:
+        age_s = now - pending.sent_at
+        if age_s < _DOUBT_S or not self.is_silent(
+            pending.owner,
+            pending.sent_at,
+        ):
+            return False
+        usual_ms = self._latency.quantile_ms(
+            pending.attempt.service,
+            _USUAL_QUANTILE,
+        )
+        return age_s * _MS_PER_S > _DOUBT_FACTOR * (usual_ms or 0)
 
     def _accept_view(self, view: View) -> None:
         # An instance missing from the view is not taken for lost: a new
@@ -226,10 +236,11 @@
         if pending is not None and pending.owner != delivery.sender:
             self._metrics.count('replies_dropped_total', reason='sender')
             return
+        self._replied_at[delivery.sender] = time.monotonic()
+        self._observations.trust_owner(delivery.sender)
         self._accept(reply, delivery.age_s)
 
     def _accept_report(self, delivery: Delivery) -> None:
-        self._observations.trust_owner(delivery.sender)
         self.accept_states(delivery.message.states, delivery.age_s)
 
     def _accept(self, reply: AttemptReply, age_s: float = 0) -> None:
--- a/shallotgate/routing/_port.py
+++ b/shallotgate/routing/_port.py
@@ -23,8 +23,8 @@
         """Tell the owner that the attempt is no longer needed."""
 
     def is_silent(self, owner: str, since: float) -> bool:
-        """Return whether nothing was heard of an owner since then.
+        """Return whether an owner replied to no attempt since then.
 
-        ``since`` is a monotonic time. It may be well all the same: owners
-        send something every second only.
+        ``since`` is a monotonic time. Reports don't count: they still come
+        in where only the way to the owner is cut.
         """
--- a/shallotgate/routing/tests/test_mailbox_port.py
+++ b/shallotgate/routing/tests/test_mailbox_port.py
@@ -191,7 +191,7 @@
         )
     )
     assert pair.sink.empty()
-    assert pair.port.count_pending() == 0
+    assert 'attempts_pending 0' in pair.metrics.render()
     assert pair.observations.observe('t').in_flight == 0
 
 
@@ -225,13 +225,21 @@
     assert (second.status, second.reason) == ('lost', 'owner_silent')
 
 
-def test_silent_or_refusing_owner_is_avoided(pair):
+def test_owner_without_replies_is_avoided(pair):
     """Guards against attempts that follow others into a cut connection."""
     pair.submit()
+    # Reports still come in where only the way to the owner is cut.
+    pair.owner.send('entry', OwnerReport(states=[make_state('t')]))
     wait_until(lambda: pair.observations.is_avoided('owner'))
+    assert pair.observations.observe('t').state is not None
     assert pair.port.is_silent('owner', time.monotonic() - 0.2)
-    pair.owner.send('entry', OwnerReport(states=[]))
+    pair.reply()
     wait_until(lambda: not pair.observations.is_avoided('owner'))
+
+
+def test_owner_without_a_lease_is_avoided(pair):
+    """Guards against retries that are spent on one owner's refusals."""
+    pair.submit()
     pair.owner.send(
         'entry',
         AttemptReply(attempt_id='a-1', status='not_run', reason='no_lease'),
