Try a third replica where two owners don't reply

Cause: in a soak with one-way cuts an entry waited on two silent owners while a third replica was there. Change: up to three attempts of a shard run at once if the owners of all before reply to nothing; unproven content still stops at two targets. Conclusion: not soaked again with this change yet.

--- a/shallotgate/query/_driver.py
+++ b/shallotgate/query/_driver.py
@@ -12,6 +12,8 @@
 
 # Between two looks for a usable target or for budget to retry.
 PAUSE_S = 0.025
+# A hedge, or one more where the owners of both don't reply.
+_MAX_ACTIVE = 3
 # A partition whose second attempt is lost too is given up.
 _MAX_LOSSES = 2
 
@@ -58,7 +60,7 @@
         running = len(shard.active)
         if running == 0 and shard.retry_at <= now:
             self.resend(shard, now)
-        elif running == 1 and shard.hedge_at <= now:
+        elif running and shard.hedge_at <= now:
             self._hedge(shard, now)
 
     def resend(self, shard: Shard, now: float) -> None:
@@ -135,30 +137,34 @@
             screening=self.pick.screening,
             trial=self.pick.trial,
         )
-        if sent is None or len(shard.active) > 1:
+        if sent is None or len(shard.active) >= _MAX_ACTIVE:
             return
-        slow_s = self._extra.read_slow_s(candidate)
-        self._watch(shard, now + min(slow_s, STALL_S))
+        slow_s = STALL_S
+        if len(shard.active) == 1:
+            slow_s = min(self._extra.read_slow_s(candidate), STALL_S)
+        self._watch(shard, now + slow_s)
 
     def _watch(self, shard: Shard, when: float) -> None:
         shard.hedge_at = when
         self._schedule(when, shard)
 
     def _hedge(self, shard: Shard, now: float) -> None:
-        """Send a second attempt next to a slow or stalled one."""
-        first = shard.active[0]
-        is_stalled = self._extra.is_stalled(first, now)
+        """Send an attempt next to a slow one or to stalled ones."""
+        active = shard.active
+        is_stalled = all(self._extra.is_stalled(one, now) for one in active)
+        is_slow = len(active) == 1 and self._extra.is_slow(active[0], now)
         candidate = None
-        if is_stalled or self._extra.is_slow(first, now):
+        if is_stalled or is_slow:
             self._refresh(shard, self.read_route())
+            asked = {one.candidate.target for one in active}
             candidate = self.pick.pick(
                 shard.candidates,
-                shard.barred | shard.passed | {first.candidate.target},
+                shard.barred | shard.passed | asked,
                 warm_only=not is_stalled,
             )
         if candidate is None or not self._extra.try_spend(is_stalled):
             # The slower it is, the less often the budget is asked.
-            age_s = now - first.sent_at
+            age_s = now - active[-1].sent_at
             self._watch(shard, now + min(max(age_s, PAUSE_S), STALL_S))
         else:
             self._send(shard, candidate, now)
