Let a soak fail if its counters match no answers

Change: at least half of the complete answers must be found in the stand-ins' counters; processes run with the fault handler of Python.

--- a/testkit/runner/_process.py
+++ b/testkit/runner/_process.py
@@ -55,6 +55,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                # A crash in native code leaves the stacks of all threads.
+                env=os.environ | {'PYTHONFAULTHANDLER': '1'},
             )
 
     def is_running(self) -> bool:
--- a/testkit/soak/_checks.py
+++ b/testkit/soak/_checks.py
@@ -24,6 +24,22 @@
             yield f'{fault}: {_describe(exchange)}'
 
 
+def check_counters(journal: Journal) -> Iterator[str]:
+    """Yield a fault if the counters can't be compared with the answers.
+
+    Counters of a stand-in that a request crashed are lost, so a part of the
+    answers may be without them.
+    """
+    complete = [
+        exchange.answer['request_id']
+        for exchange in journal.exchanges
+        if exchange.answer and exchange.answer['outcome'] == 'complete'
+    ]
+    known = sum(journal.ran_requests[name] > 0 for name in complete)
+    if known * 2 < len(complete):
+        yield f'test kit: runs of {known} of {len(complete)} answers are known'
+
+
 def check_keys(journal: Journal) -> Iterator[str]:
     """Yield each once-only key that ran twice or got two answers."""
     for ran_key, count in journal.ran_keys.items():
--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -11,6 +11,7 @@
 from testkit.runner import Tier, WaitTimeoutError, wait_until
 from testkit.soak._checks import (
     check_changes,
+    check_counters,
     check_exchanges,
     check_keys,
     check_versions,
@@ -96,6 +97,7 @@
         )
         self._stand_ins.collect_all()
         findings.extend(check_exchanges(self.journal))
+        findings.extend(check_counters(self.journal))
         findings.extend(check_keys(self.journal))
         findings.extend(check_versions(self.journal))
         return findings
--- a/testkit/soak/tests/test_checks.py
+++ b/testkit/soak/tests/test_checks.py
@@ -4,6 +4,7 @@
 
 from testkit.soak._checks import (
     check_changes,
+    check_counters,
     check_exchanges,
     check_keys,
     check_versions,
@@ -83,6 +84,14 @@
     assert not list_faults(lost, outages=[Outage('a-1', 10.5, 12)])
 
 
+def test_counters_that_do_not_match_are_found():
+    """Guards against checks that compare with nothing and always pass."""
+    exchanges = [make_exchange(make_answer())]
+    matching = Journal(exchanges, ran_requests=Counter({'r1': 3}))
+    assert not list(check_counters(matching))
+    assert list(check_counters(Journal(exchanges)))
+
+
 def test_keys_run_once_and_have_one_answer():
     """Guards against a label that is printed twice."""
     assert list_faults(ran_keys={'k': 2})
