Tell which groups are in use and share the tests' builders

Cause: nothing told UsedGroups of use, so a subset of reports would have lacked the groups in use; routing and query had the same builders twice. Change: the service notes each query's group; builders move to routing/tests/builders.py, no test is dropped or loosened.

--- a/shallotgate/edge/tests/test_application.py
+++ b/shallotgate/edge/tests/test_application.py
@@ -155,10 +155,7 @@
     application = CallerApplication(tier.entry, tier.view, lambda: '')
     response, answer = post(application, QUERY)
     assert response.status == 503
-    assert (answer['outcome'], answer['reason']) == (
-        'refused',
-        'no_catalogue',
-    )
+    assert (answer['outcome'], answer['reason']) == ('refused', 'no_catalogue')
 
 
 def test_readiness_and_unknown_paths():
--- a/shallotgate/query/_service.py
+++ b/shallotgate/query/_service.py
@@ -173,6 +173,7 @@
         if self._parts.lease.remaining_s() <= 0:
             # It may have ended while the query was queued.
             return task.make_answer('refused', 'no_lease'), Usage()
+        self._parts.interest.note_use(task.request.group)
         if task.policy.once_only:
             once = OnceRun(self._parts, task)
             return once.answer(), once.exchange.usage
--- a/shallotgate/query/_task.py
+++ b/shallotgate/query/_task.py
@@ -18,10 +18,12 @@
 from shallotgate.query._screening import DigestTable
 from shallotgate.query._settler import Settler
 from shallotgate.routing import (
+    AllGroups,
     AttemptPort,
     Budget,
     LatencyTracker,
     ReplicaChooser,
+    ReportInterest,
 )
 
 MS_PER_S = 1000
@@ -50,6 +52,8 @@
     proven: DigestTable[bool] = field(default_factory=DigestTable)
     # Names of targets that were lost while they ran a digest.
     suspects: DigestTable[tuple[str, ...]] = field(default_factory=DigestTable)
+    # Told which groups are in use, so that their owners' reports are asked.
+    interest: ReportInterest = field(default_factory=AllGroups)
     settler: Settler = field(default_factory=Settler)
     hedges: Budget = field(init=False)
     retries: Budget = field(init=False)
--- a/shallotgate/query/tests/test_admission.py
+++ b/shallotgate/query/tests/test_admission.py
@@ -8,7 +8,7 @@
 from shallotgate.generated.catalogue import Caller, ClassPolicy
 from shallotgate.query import Admission, RefusedError
 from shallotgate.query._limiter import LatencyLimiter
-from shallotgate.query.tests.tier import SEED, wait_until
+from shallotgate.routing.tests.builders import SEED, Clock, wait_until
 
 
 class FixedLimiter:
@@ -123,13 +123,6 @@
     assert admission.in_flight == 1
 
 
-class Clock:
-    now = 0.0
-
-    def __call__(self):
-        return self.now
-
-
 def run_limiter(limiter, clock, latency_of, seconds):
     """Let the limit be used up for a time of the clock."""
     rng = random.Random(SEED)
@@ -172,6 +165,7 @@
     same estimate as ``Admission``, without its queue.
     """
     clock = Clock()
+    clock.now = 0
     limiter = LatencyLimiter(clock)
     running = []
     free_at = [0.0] * servers
--- a/shallotgate/query/tests/test_fan_out.py
+++ b/shallotgate/query/tests/test_fan_out.py
@@ -7,12 +7,13 @@
     KEY,
     Delayed,
     Tier,
-    make_version,
     reply_late,
     reply_never,
     reply_ok,
     reply_with,
 )
+from shallotgate.routing import UsedGroups
+from shallotgate.routing.tests.builders import make_version
 
 
 def name_replicas(shard):
@@ -373,6 +374,18 @@
     assert {one.target[-1] for one in tier.port.sent} == {'z'}
 
 
+def test_use_of_a_group_is_told():
+    """Guards against a subset of reports that lacks the groups in use."""
+    tier = Tier()
+    tier.parts.interest = interest = UsedGroups()
+    catalogue = tier.view.current()
+    assert set(interest.list_groups(catalogue)) == {'trace', 'print'}
+    interest._all_until = 0
+    assert not interest.list_groups(catalogue)
+    tier.ask()
+    assert set(interest.list_groups(catalogue)) == {'trace'}
+
+
 def test_key_is_refused_outside_once_only_classes():
     """Guards against a promise of at-most-once that is not kept."""
     answer = Tier().ask(key=KEY)
--- a/shallotgate/query/tests/test_merge.py
+++ b/shallotgate/query/tests/test_merge.py
@@ -3,7 +3,8 @@
 
 from shallotgate.codec import encode_json
 from shallotgate.query import BadMatchesError, decode_matches, merge_matches
-from shallotgate.query.tests.tier import SEED, Tier, reply_ok, reply_with
+from shallotgate.query.tests.tier import Tier, reply_ok, reply_with
+from shallotgate.routing.tests.builders import SEED
 
 MATCHES = st.lists(
     st.fixed_dictionaries(
--- a/shallotgate/query/tests/test_once.py
+++ b/shallotgate/query/tests/test_once.py
@@ -12,8 +12,8 @@
     reply_never,
     reply_ok,
     reply_with,
-    wait_until,
 )
+from shallotgate.routing.tests.builders import wait_until
 
 PRINT = {'group': 'print', 'class_name': 'print', 'key': KEY}
 
--- a/shallotgate/query/tests/test_screening.py
+++ b/shallotgate/query/tests/test_screening.py
@@ -6,12 +6,11 @@
 from shallotgate.query.tests.tier import (
     Delayed,
     Tier,
-    make_state,
     reply_late,
     reply_ok,
     reply_with,
-    wait_until,
 )
+from shallotgate.routing.tests.builders import make_state, wait_until
 
 DEADLY = {'query': {'deadly': True}, 'class_name': 'coverage'}
 
--- a/shallotgate/query/tests/tier.py
+++ b/shallotgate/query/tests/tier.py
@@ -3,7 +3,6 @@
 import dataclasses
 import random
 import threading
-import time
 from types import MappingProxyType
 
 from shallotgate.codec import encode_json
@@ -15,7 +14,6 @@
     ClassPolicy,
     Domain,
     Service,
-    Target,
 )
 from shallotgate.generated.messages import (
     AttemptReply,
@@ -24,11 +22,8 @@
     GrantTrial,
     Judgement,
     OnceResult,
-    Ownership,
     RecordOutcome,
     ReleaseClaim,
-    TargetState,
-    TargetVersion,
     Versions,
 )
 from shallotgate.generated.settings import Policy
@@ -41,9 +36,15 @@
     Observations,
     ReplicaChooser,
 )
+from shallotgate.routing.tests.builders import (
+    DOMAINS,
+    SEED,
+    make_ownership,
+    make_state,
+    make_target,
+    make_version,
+)
 
-SEED = 20261204
-DOMAINS = ('x', 'y', 'z')
 CLASSES = {
     'coverage': {'mode': 'coverage', 'deadline_ms': 2000},
     'latency': {'mode': 'latency', 'deadline_ms': 2000, 'soft_limit_ms': 60},
@@ -60,28 +61,13 @@
             owner='o',
             group='trace',
             targets=[
-                Target(
-                    name=f's{number}-{DOMAINS[replica]}',
-                    address='127.0.0.1:1',
-                    domain=DOMAINS[replica],
-                    slots=3,
-                    connections=30,
-                )
+                make_target(f's{number}-{DOMAINS[replica]}', DOMAINS[replica])
                 for replica in range(replicas)
             ],
         )
         for number in range(shards)
     }
-    printers = [
-        Target(
-            name=f'p-{domain}',
-            address='127.0.0.1:1',
-            domain=domain,
-            slots=6,
-            connections=50,
-        )
-        for domain in DOMAINS
-    ]
+    printers = [make_target(f'p-{domain}', domain) for domain in DOMAINS]
     services['p'] = Service(owner='o', group='print', targets=printers)
     return Catalogue(
         version=1,
@@ -302,16 +288,7 @@
         self.view.replace(
             View(
                 catalogue=self.catalogue,
-                ownership={
-                    name: Ownership(
-                        target=name,
-                        instance='e1',
-                        start_id='s',
-                        epoch=1,
-                        state='held',
-                    )
-                    for name in self.places
-                },
+                ownership={name: make_ownership(name) for name in self.places},
                 quarantine=MappingProxyType({}),
                 instances={},
                 versions=Versions(catalogue=1, ownership=1),
@@ -390,33 +367,3 @@
 
     def _shards(self):
         return len(self.catalogue.services) - 1
-
-
-def make_version(index_version, partitions, held):
-    return TargetVersion(
-        index_version=index_version, partitions=partitions, held=held
-    )
-
-
-def make_state(target, **changes):
-    fields = {
-        'target': target,
-        'epoch': 1,
-        'limit': 3,
-        'in_flight': 0,
-        'queued': 0,
-        'queue_ms': 0,
-        'latency_ms': 5,
-        'cold': False,
-        'draining': False,
-        'lost': False,
-        **changes,
-    }
-    return TargetState(**fields)
-
-
-def wait_until(condition, timeout_s=10):
-    give_up_at = time.monotonic() + timeout_s
-    while not condition():
-        assert time.monotonic() < give_up_at, 'condition not met in time'
-        time.sleep(0.002)
--- a/shallotgate/routing/tests/test_choice.py
+++ b/shallotgate/routing/tests/test_choice.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from shallotgate.generated.catalogue import Catalogue, Domain, Service, Target
-from shallotgate.generated.messages import (
-    Ownership,
-    TargetState,
-    TargetVersion,
-    Versions,
-)
+from shallotgate.generated.catalogue import Catalogue, Domain, Service
+from shallotgate.generated.messages import Versions
 from shallotgate.membership import TierView, View, list_places
 from shallotgate.routing import (
     Budget,
@@ -19,33 +14,15 @@
     Observations,
     ReplicaChooser,
 )
-
-SEED = 20261204
-DOMAINS = ('x', 'y', 'z')
-
-
-class Clock:
-    now = 1000.0
-
-    def __call__(self):
-        return self.now
-
-
-def make_state(target, **changes):
-    fields = {
-        'target': target,
-        'epoch': 1,
-        'limit': 3,
-        'in_flight': 0,
-        'queued': 0,
-        'queue_ms': 0,
-        'latency_ms': 5,
-        'cold': False,
-        'draining': False,
-        'lost': False,
-        **changes,
-    }
-    return TargetState(**fields)
+from shallotgate.routing.tests.builders import (
+    DOMAINS,
+    SEED,
+    Clock,
+    make_ownership,
+    make_state,
+    make_target,
+    make_version,
+)
 
 
 class Replicas:
@@ -56,16 +33,7 @@
         self.observations = Observations(self.clock)
         self.index_map = IndexMap(self.clock)
         self.view = TierView()
-        targets = [
-            Target(
-                name=name,
-                address='127.0.0.1:1',
-                domain=name,
-                slots=3,
-                connections=9,
-            )
-            for name in DOMAINS
-        ]
+        targets = [make_target(name, name) for name in DOMAINS]
         catalogue = Catalogue(
             version=1,
             services={'s': Service(owner='o', group='g', targets=targets)},
@@ -102,16 +70,14 @@
     def own(self, states):
         view = self.view.current()
         ownership = {
-            name: Ownership(
-                target=name, instance='e2', start_id='s', epoch=1, state=state
-            )
+            name: make_ownership(name, 'e2', state)
             for name, state in states.items()
         }
         self.view.replace(dataclasses.replace(view, ownership=ownership))
 
     def report(self, target, **changes):
         self.observations.accept_state(make_state(target, **changes))
-        version = TargetVersion(index_version=1, partitions=1, held=[0])
+        version = make_version(1, 1, [0])
         self.index_map.learn('g', target, [version])
 
     def usable(self):
@@ -231,18 +197,14 @@
     assert not observations.observe('x').is_barred()
 
 
-def hold(index_version, partitions, held):
-    return TargetVersion(
-        index_version=index_version, partitions=partitions, held=held
-    )
-
-
 def test_newest_whole_version_is_chosen():
     """Guards against answers from a version that lacks partitions."""
     index_map = IndexMap()
     assert index_map.choose_version('g', ['a']) is None
-    index_map.learn('g', 'a', [hold(1, 2, [0, 1]), hold(2, 2, [0])])
-    index_map.learn('g', 'b', [hold(2, 2, [1])])
+    index_map.learn(
+        'g', 'a', [make_version(1, 2, [0, 1]), make_version(2, 2, [0])]
+    )
+    index_map.learn('g', 'b', [make_version(2, 2, [1])])
     assert index_map.choose_version('g', ['a', 'b']).index_version == 2
     choice = index_map.choose_version('g', ['a'])
     assert (choice.index_version, choice.holders) == (1, (('a',), ('a',)))
@@ -254,8 +216,8 @@
 def test_number_of_partitions_is_the_largest_told():
     """Guards against missing partitions that a target does not know of."""
     index_map = IndexMap()
-    index_map.learn('g', 'a', [hold(1, 2, [0, 1, 7])])
-    index_map.learn('g', 'b', [hold(1, 3, [])])
+    index_map.learn('g', 'a', [make_version(1, 2, [0, 1, 7])])
+    index_map.learn('g', 'b', [make_version(1, 3, [])])
     choice = index_map.choose_version('g', ['a', 'b'])
     assert (len(choice.holders), choice.covered) == (3, 2)
 
@@ -264,9 +226,9 @@
     """Guards against a plan that counts on targets that are gone."""
     clock = Clock()
     index_map = IndexMap(clock)
-    index_map.learn('g', 'a', [hold(1, 1, [0])])
+    index_map.learn('g', 'a', [make_version(1, 1, [0])])
     clock.now += 20
-    index_map.learn('g', 'b', [hold(1, 1, [0])])
+    index_map.learn('g', 'b', [make_version(1, 1, [0])])
     clock.now += 11
     index_map.drop_missing()
     assert set(index_map.list_targets('g')) == {'b'}
@@ -275,11 +237,11 @@
 def test_repeated_report_leaves_routes_alone():
     """Guards against routes that are made anew for each reply."""
     index_map = IndexMap()
-    index_map.learn('g', 'a', [hold(1, 2, [0, 1])])
+    index_map.learn('g', 'a', [make_version(1, 2, [0, 1])])
     before = index_map.revision
-    index_map.learn('g', 'a', (hold(1, 2, (0, 1)),))
+    index_map.learn('g', 'a', (make_version(1, 2, (0, 1)),))
     assert index_map.revision == before
-    index_map.learn('g', 'a', [hold(1, 2, [0])])
+    index_map.learn('g', 'a', [make_version(1, 2, [0])])
     assert index_map.revision > before
 
 
--- a/shallotgate/routing/tests/test_mailbox_port.py
+++ b/shallotgate/routing/tests/test_mailbox_port.py
@@ -5,16 +5,14 @@
 
 import pytest
 
-from shallotgate.generated.catalogue import Catalogue, Service, Target
+from shallotgate.generated.catalogue import Catalogue, Service
 from shallotgate.generated.messages import (
     Attempt,
     AttemptReply,
     CancelAttempt,
     InstanceRecord,
     OwnerReport,
-    Ownership,
     SubscribeReports,
-    TargetVersion,
     Versions,
 )
 from shallotgate.membership import EMPTY_VIEW, TierView, list_places
@@ -26,7 +24,13 @@
     Observations,
     ReportSubscriber,
 )
-from shallotgate.routing.tests.test_choice import make_state
+from shallotgate.routing.tests.builders import (
+    make_ownership,
+    make_state,
+    make_target,
+    make_version,
+    wait_until,
+)
 from shallotgate.timers import TimerService
 from shallotgate.transport import Mailbox
 
@@ -37,13 +41,6 @@
         return f'127.0.0.1:{probe.getsockname()[1]}'
 
 
-def wait_until(condition, timeout_s=10):
-    give_up_at = time.monotonic() + timeout_s
-    while not condition():
-        assert time.monotonic() < give_up_at, 'condition not met in time'
-        time.sleep(0.002)
-
-
 class Local:
     def __init__(self):
         self.cancelled = []
@@ -101,13 +98,7 @@
         self.owner.start()
 
     def show_owner(self, start_id):
-        target = Target(
-            name='t',
-            address='127.0.0.1:1',
-            domain='x',
-            slots=1,
-            connections=1,
-        )
+        target = make_target('t', 'x')
         service = Service(owner='o', group='g', targets=[target])
         catalogue = Catalogue(version=1, services={'s': service})
         record = InstanceRecord(
@@ -118,13 +109,7 @@
             roles=['entry'],
             readiness='ready',
         )
-        ownership = Ownership(
-            target='t',
-            instance='owner',
-            start_id=start_id,
-            epoch=1,
-            state='held',
-        )
+        ownership = make_ownership('t', 'owner')
         self.view.replace(
             dataclasses.replace(
                 EMPTY_VIEW,
@@ -157,8 +142,7 @@
 
     def reply(self, attempt_id='a-1', **fields):
         self.owner.send(
-            'entry',
-            AttemptReply(attempt_id=attempt_id, status='ok', **fields),
+            'entry', AttemptReply(attempt_id=attempt_id, status='ok', **fields)
         )
 
     def stop(self):
@@ -199,7 +183,7 @@
     """Guards against routing by old states."""
     pair.submit()
     pair.received.get(timeout=5)
-    versions = [TargetVersion(index_version=7, partitions=1, held=[0])]
+    versions = [make_version(7, 1, [0])]
     pair.reply(state=make_state('t', versions=versions))
     pair.sink.get(timeout=5)
     assert pair.index_map.list_versions('g') == [7]
