Start the smoothed latency of a target with its first reply

Cause: the smoothed latency rose from 0, so that after the first reply of 6.7 ms the owner reported 1.3 ms and underestimated the wait in its queue.

Change: the first reply sets the value. The reason codes are listed at Outcome.

--- a/shallotgate/targets/_limiter.py
+++ b/shallotgate/targets/_limiter.py
@@ -96,7 +96,8 @@
 
     def note_success(self, service_ms: float, load: int) -> None:
         """Learn from a reply; ``load`` is what ran when it was sent."""
-        self.latency_ms += _LATENCY_WEIGHT * (service_ms - self.latency_ms)
+        former_ms = self.latency_ms or service_ms
+        self.latency_ms = former_ms + _LATENCY_WEIGHT * (service_ms - former_ms)
         is_slow = self.is_slow(service_ms)
         if load == 1 or not self.is_cold:
             self._note_slow_rate(is_slow)
--- a/shallotgate/targets/_work.py
+++ b/shallotgate/targets/_work.py
@@ -50,7 +50,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """How an attempt ended."""
+    """How an attempt ended.
+
+    Reasons of ``not_run``: no_lease, not_owner, taken_out, draining,
+    quarantined, suspect, unreachable, queue_full, late and cancelled from the
+    owner; shed, draining and late from the target. Of ``lost``: target_lost
+    or connection_lost. Of ``failed``: target_failed, bad_reply or internal.
+    """
 
     status: Status
     # Short code; see AttemptReply.
--- a/shallotgate/targets/tests/test_limiter.py
+++ b/shallotgate/targets/tests/test_limiter.py
@@ -44,6 +44,15 @@
     assert limiter.limit == 2
 
 
+def test_latency_starts_with_the_first_reply():
+    """Guards against waits that are underestimated for a new target."""
+    limiter = Limiter(4, 1, cold_start=True)
+    feed(limiter, 5)
+    assert limiter.latency_ms == 5
+    feed(limiter, 10)
+    assert limiter.latency_ms == 6
+
+
 def test_overload_does_not_become_the_norm():
     """Guards against a threshold that follows the overload upwards."""
     limiter = Limiter(4, 1, cold_start=True)
