Let the stand-in stall for a time

Change: stall_ms in POST /v1/admin; a test that a stall ends in timeouts only, makes no suspects and is followed by service again.

--- a/shallotgate/targets/tests/test_http_edge.py
+++ b/shallotgate/targets/tests/test_http_edge.py
@@ -212,6 +212,17 @@
     assert rig.run(digest='poison').reason == 'suspect'
 
 
+def test_stalled_target_costs_its_attempts_only_and_comes_back(standin, rig):
+    """Guards against suspects or endless waits after a stall."""
+    assert rig.run().status == 'ok'
+    standin.change(stall_ms=2500)
+    begun = time.monotonic()
+    assert rig.run(time_left_ms=200).status == 'timeout'
+    assert time.monotonic() - begun < 2
+    wait_until(lambda: rig.run().status == 'ok', 'the end of the stall')
+    assert rig.commands.taken.empty()
+
+
 def test_connections_stay_within_what_the_limiter_needs(standin, rig):
     """Guards against connection storms."""
     feed(rig, 1, 12)
--- a/testkit/standin/_server.py
+++ b/testkit/standin/_server.py
@@ -102,6 +102,8 @@
         path: bytes,
         body: bytes,
     ) -> bytes | None:
+        if path != b'/v1/admin':
+            self._target.wait_stall()
         if (method, path) == (b'POST', b'/v1/run'):
             return self._run(client, msgspec.json.decode(body))
         if (method, path) == (b'GET', b'/v1/status'):
--- a/testkit/standin/_target.py
+++ b/testkit/standin/_target.py
@@ -81,6 +81,7 @@
         self._started = time.monotonic()
         self._cold_until = self._started + behaviour.cold_ms / _MS_PER_S
         self._collapsed_until = float(0)
+        self._stalled_until = float(0)
         self._overfed: list[tuple[float, float]] = []
         self._busy = 0
         self._cached: tuple[float, dict[str, Any]] = (float('-inf'), {})
@@ -88,8 +89,8 @@
     def change(self, edits: Mapping[str, Any]) -> dict[str, Any]:
         """Change the behaviour and return the counters.
 
-        ``turn_cold_ms`` makes it cold without a restart; ``reset`` clears
-        the counters.
+        ``turn_cold_ms`` makes it cold without a restart; ``stall_ms`` stops
+        it for a time; ``reset`` clears the counters.
         """
         with self._lock:
             for name, content in edits.items():
@@ -120,6 +121,10 @@
             self._cached = (now, content)
         return {**content, **self.behaviour.lie}
 
+    def wait_stall(self) -> None:
+        """Wait while the target is stalled."""
+        time.sleep(max(self._stalled_until - time.monotonic(), 0))
+
     def count(self, name: str) -> None:
         """Add one to a counter."""
         with self._lock:
@@ -195,6 +200,8 @@
     def _edit(self, name: str, content: Any) -> None:
         if name == 'turn_cold_ms':
             self._cold_until = time.monotonic() + content / _MS_PER_S
+        elif name == 'stall_ms':
+            self._stalled_until = time.monotonic() + content / _MS_PER_S
         elif name == 'reset':
             self.counters.clear()
             self.ran_requests.clear()
