Wait for the version of the last verdict in a soak

Its record was in the logs of all three members; the final read came 10 ms after the verdict, and the newest version was asked of the instances, none of which had it in force yet. Change: the newest version is taken from the verdicts, so that a version that never comes into force is found as well. Conclusion: a fault of the check, not of the tier.

--- a/testkit/soak/_run.py
+++ b/testkit/soak/_run.py
@@ -132,9 +132,13 @@
 
     def _check_final(self) -> Iterator[str]:
         first, *others = self.tier.instances
-        # The last change may not be in force everywhere yet.
-        newest = max(map(self.tier.clients.read_version, self.tier.instances))
-        self.tier.clients.wait_version(newest, self.tier.instances)
+        # The last change may not be in force anywhere yet.
+        newest = max(
+            change.verdict['version']
+            for change in self.journal.changes
+            if change.verdict
+        )
+        self.tier.clients.wait_version(newest, [first, *others])
         catalogue = self.tier.clients.read(first, '/v1/catalogue')
         history = self.tier.clients.read(first, '/v1/history')
         yield from check_changes(self.journal.changes, catalogue, history)
