--- a/shallotgate/control/tests/test_tier.py
+++ b/shallotgate/control/tests/test_tier.py
@@ -1,4 +1,3 @@
-import json
 import time
 
 import pytest
@@ -6,7 +5,6 @@
 from shallotgate.control.tests.fakes import Tier, free_address, wait_until
 from shallotgate.errors import CommitUnknownError, NoLeaderError
 from shallotgate.generated.messages import (
-    ChangeCatalogue,
     ClaimOnce,
     Learnt,
     MoveOwners,
@@ -14,7 +12,14 @@
 )
 from shallotgate.invariants import read_breaches
 from shallotgate.membership import LeaderCallError
-from shallotgate.state.tests.builders import domain, make_id, put, target
+from shallotgate.state.tests.builders import (
+    domain,
+    make_id,
+    make_service,
+    target,
+)
+from shallotgate.state.tests.builders import make_change as build_change
+from shallotgate.transport import Delivery
 
 
 @pytest.fixture
@@ -27,21 +32,13 @@
 
 
 def make_change(base=0, tail='1', edits=None):
-    if edits is None:
-        targets = [target('t0', 1), target('t1', 2)]
-        service = put('services', 's', owner='ada', group='g', targets=targets)
-        edits = [domain('a'), service]
-    change = {
-        'change_id': make_id(tail, time.time()),
-        'base_version': base,
-        'edits': edits,
-        'reason': 'test',
-    }
-    return ChangeCatalogue(
-        operator='ada',
+    service = make_service('s', target('t0', 1), target('t1', 2))
+    return build_change(
+        edits or [domain('a'), service],
+        base=base,
+        tail=tail,
+        now=time.time(),
         administrator=True,
-        change=json.dumps(change).encode(),
-        time=0,
     )
 
 
@@ -79,6 +76,8 @@
     # One is cut off from the leader.
     cut = nodes[2]
     cut.session.link.call = lambda *_: None
+    # What was on its way has arrived by then.
+    wait_until(lambda: cut.lease_s < 3)
     nodes[0].client.propose(make_change(), 5)
     accepted_at = time.monotonic()
 
@@ -231,3 +230,15 @@
     assert entry.session.wait_until_ready(5)
     result = entry.client.propose(MoveOwners(moves=[], time=0), 5)
     assert 'only the leader' in result.reason
+
+
+def test_late_heartbeat_is_ignored(tier):
+    """Guards against a lease from a heartbeat that was held up for long."""
+    tier.group.elect('m1')
+    assert tier.nodes['m2'].session.wait_until_ready(5)
+    control = tier.nodes['m1'].control
+    beat = tier.nodes['m2'].session._make_heartbeat(1)
+    for age_s, is_known in ((2.1, False), (1.9, True)):
+        control._leases.answer(Delivery('late', 's', 'c-1', age_s, beat))
+        sessions = control._sessions.freeze(time.monotonic()).sessions
+        assert (('late', 's') in sessions) == is_known
--- a/shallotgate/membership/tests/fakes.py
+++ b/shallotgate/membership/tests/fakes.py
@@ -1,40 +1,26 @@
 """A link to the control group that follows a script."""
 
-import threading
+from types import SimpleNamespace
 
-from shallotgate.errors import CallTimeoutError
 from shallotgate.generated.messages import (
     HeartbeatReply,
     StateUpdate,
     Versions,
 )
+from shallotgate.membership import DirectLink
 
+# Stands in for a mailbox that nothing is sent by.
+NO_MAILBOX = SimpleNamespace(instance='e1', learn=lambda *_: None)
 
-class NoMailbox:
-    """Takes what the session tells a mailbox."""
 
-    instance = 'e1'
+class ScriptedLink(DirectLink):
+    """Answers by a function of peer, message and time allowed."""
 
-    def __init__(self):
-        self.learnt = {}
-
-    def learn(self, peer, address):
-        self.learnt[peer] = address
-
-
-class ScriptedLink:
-    """Answers by a function of peer and message."""
-
-    def __init__(self, answer, members=('m1', 'm2')):
+    def __init__(self, answer):
+        super().__init__(None, ['m1', 'm2'])
         self.answer = answer
-        self.members = members
-        self.position = 0
-        self.lock = threading.Lock()
         self.asked = []
 
-    def choose(self):
-        return self.members[self.position % len(self.members)]
-
     def call(self, peer, message, timeout_s):
         self.asked.append((peer, message))
         reply = self.answer(peer, message, timeout_s)
@@ -42,18 +28,6 @@
             raise reply
         return reply
 
-    def mark_leader(self, peer):
-        self.position = self.members.index(peer)
-
-    def mark_refused(self, peer, leader):
-        with self.lock:
-            if self.choose() != peer:
-                return
-            if leader:
-                self.position = self.members.index(leader)
-            else:
-                self.position += 1
-
 
 def grant(message, versions=None, instances_version=0):
     return HeartbeatReply(
@@ -77,8 +51,3 @@
         term=1,
         catalogue=b'{"version": %d}' % catalogue,
     )
-
-
-def wait_silently(stopped, timeout_s):
-    stopped.wait(timeout_s)
-    return CallTimeoutError('silent')
