Release targets that were moved before they were held

A grant and a move can both lie between two views of an instance. No part of it has then opened the target, so nobody would release it, and the target would stay without an owner for as long as the instance lives.

The session compares the views and releases such a target itself.

--- a/shallotgate/membership/_applier.py
+++ b/shallotgate/membership/_applier.py
@@ -5,9 +5,11 @@
 from shallotgate.generated.messages import (
     FetchState,
     HeartbeatReply,
+    Owner,
     StateUpdate,
 )
 from shallotgate.membership._link import ControlLink
+from shallotgate.membership._releases import ReleaseList, list_unopened
 from shallotgate.membership._updates import covers, update_view
 from shallotgate.membership._view import TierView
 from shallotgate.transport import Mailbox
@@ -23,10 +25,12 @@
         link: ControlLink,
         mailbox: Mailbox,
         tier_view: TierView,
+        releases: ReleaseList,
     ) -> None:
         self._link = link
         self._mailbox = mailbox
         self._view = tier_view
+        self._releases = releases
         # Version of the leader's session table that was applied.
         self._instances_version = 0
         # One fetch at a time: an older update can't follow a newer one.
@@ -54,7 +58,15 @@
         for record in update.instances or ():
             if record.instance != self._mailbox.instance:
                 self._mailbox.learn(record.instance, record.address)
+        before = self._view.current()
+        after = update_view(before, update)
         # Subscribers of the view have acted on it when this returns, so that
         # the lease counts only with the new versions in force.
-        self._view.replace(update_view(self._view.current(), update))
+        self._view.replace(after)
+        owner = Owner(
+            instance=self._mailbox.instance,
+            start_id=self._mailbox.start_id,
+        )
+        for release in list_unopened(before.ownership, after.ownership, owner):
+            self._releases.add(release)
         self._instances_version = update.instances_version
--- a/shallotgate/membership/_releases.py
+++ b/shallotgate/membership/_releases.py
@@ -1,9 +1,9 @@
 """Targets that this instance has let go."""
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
-from shallotgate.generated.messages import Ownership, Release
+from shallotgate.generated.messages import Owner, Ownership, Release
 
 
 def _is_passed_on(release: Release, owned: Ownership | None) -> bool:
@@ -13,6 +13,27 @@
     return owned.epoch > release.epoch and owned.state == 'held'
 
 
+def list_unopened(
+    before: Mapping[str, Ownership],
+    after: Mapping[str, Ownership],
+    owner: Owner,
+) -> Iterator[Release]:
+    """Yield releases of targets that were moved before they were held here.
+
+    A grant and a move can both lie between two views. Then no part of this
+    process has seen the target as its own, so none would release it.
+    """
+    for owned in after.values():
+        is_own = owned.instance == owner.instance
+        is_own = is_own and owned.start_id == owner.start_id
+        if not is_own or owned.state != 'moving':
+            continue
+        former = before.get(owned.target)
+        # The epoch of a move is one above that of the holding.
+        if former is None or former.epoch < owned.epoch - 1:
+            yield Release(target=owned.target, epoch=owned.epoch)
+
+
 class ReleaseList:
     """Keeps releases until the ownership shows that they were acted on.
 
--- a/shallotgate/membership/_session.py
+++ b/shallotgate/membership/_session.py
@@ -71,7 +71,12 @@
         self._metrics = metrics
         self._announced: Readiness = 'starting'
         self._releases = ReleaseList()
-        self._applier = StateApplier(self.link, mailbox, tier_view)
+        self._applier = StateApplier(
+            self.link,
+            mailbox,
+            tier_view,
+            self._releases,
+        )
         self._sequences = itertools.count(1)
         generator = random.Random(f'{settings.seed}{start_id}')  # noqa: S311
         self._pacer = Pacer(self.link, generator)
--- a/shallotgate/membership/tests/fakes.py
+++ b/shallotgate/membership/tests/fakes.py
@@ -10,7 +10,9 @@
 from shallotgate.membership import DirectLink
 
 # Stands in for a mailbox that nothing is sent by.
-NO_MAILBOX = SimpleNamespace(instance='e1', learn=lambda *_: None)
+NO_MAILBOX = SimpleNamespace(
+    instance='e1', start_id='s1', learn=lambda *_: None
+)
 
 
 class ScriptedLink(DirectLink):
--- a/shallotgate/membership/tests/test_session.py
+++ b/shallotgate/membership/tests/test_session.py
@@ -7,13 +7,14 @@
 from shallotgate.errors import CallTimeoutError
 from shallotgate.generated.messages import (
     FetchState,
+    Owner,
     Ownership,
     Release,
     Versions,
 )
 from shallotgate.generated.settings import Member, Settings
 from shallotgate.membership import EMPTY_VIEW, Session, TierView
-from shallotgate.membership._releases import ReleaseList
+from shallotgate.membership._releases import ReleaseList, list_unopened
 from shallotgate.membership._updates import update_view
 from shallotgate.membership.tests.fakes import (
     NO_MAILBOX,
@@ -195,3 +196,23 @@
         assert releases.list_open(ownership) == (release,)
     assert not releases.list_open(make_owned(3, 'held', 'e2'))
     assert not releases.list_open(make_owned(1, 'held'))
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'is_released'),
+    [
+        ({}, make_owned(2, 'moving'), True),
+        (make_owned(1, 'held', 'e2'), make_owned(4, 'moving'), True),
+        # It was held here, so the part that holds it releases it.
+        (make_owned(1, 'held'), make_owned(2, 'moving'), False),
+        (make_owned(2, 'moving'), make_owned(2, 'moving'), False),
+        ({}, make_owned(1, 'held'), False),
+        ({}, make_owned(2, 'moving', 'e2'), False),
+    ],
+)
+def test_target_that_was_never_held_is_released(before, after, is_released):
+    """Guards against a target that moves for ever without a holder."""
+    owner = Owner(instance='e1', start_id='s1')
+    released = list(list_unopened(before, after, owner))
+    expected = [Release(target='t', epoch=after['t'].epoch)]
+    assert released == (expected if is_released else [])
