Do not take a reopened target for a released one

The owner side reports a release whenever it closes a target, also when it opens it again on the same epoch because its address or slots were edited. The leader would have moved the target and granted it to another entry at once.

The session now drops a release of a target that it holds at that epoch and that is in the catalogue, unless it leaves, and the leader begins a move for a release only if the owner may not own targets. The owner side should still not report such a release: one that is told in the same moment as a move can't be told from a real one here.

--- a/shallotgate/control/_owners.py
+++ b/shallotgate/control/_owners.py
@@ -174,9 +174,13 @@
         """Return whether the owner does nothing for the target any more."""
         if owned.target not in moment.places:
             return True
-        if moment.sessions.find_release(owned) is not None:
-            return True
-        return moment.sessions.is_lost(_get_owner(owned))
+        owner = _get_owner(owned)
+        if owner in moment.candidates:
+            # It holds what it is granted, whatever it has said of an earlier
+            # opening of the target.
+            return False
+        is_released = moment.sessions.find_release(owned) is not None
+        return is_released or moment.sessions.is_lost(owner)
 
     def _is_leaving(self, owned: Ownership, moment: _Moment) -> bool:
         owner = _get_owner(owned)
--- a/shallotgate/membership/_releases.py
+++ b/shallotgate/membership/_releases.py
@@ -4,13 +4,24 @@
 from collections.abc import Iterator, Mapping
 
 from shallotgate.generated.messages import Owner, Ownership, Release
+from shallotgate.membership._view import View
 
 
-def _is_passed_on(release: Release, owned: Ownership | None) -> bool:
-    """Return whether the target was granted again since the release."""
+def _is_settled(release: Release, view: View, is_leaving: bool) -> bool:
+    """Return whether a release has been acted on, or is none.
+
+    A target that is held here at the release's epoch and is in the catalogue
+    is only closed to be opened again, for instance with another address. Such
+    a release must not be told to the leader, unless this instance leaves.
+    """
+    owned = view.ownership.get(release.target)
     if owned is None:
         return True
-    return owned.epoch > release.epoch and owned.state == 'held'
+    if owned.state != 'held':
+        return False
+    if owned.epoch != release.epoch:
+        return owned.epoch > release.epoch
+    return release.target in view.places and not is_leaving
 
 
 def list_unopened(
@@ -52,14 +63,10 @@
             if former is None or former.epoch <= release.epoch:
                 self._releases[release.target] = release
 
-    def list_open(
-        self,
-        ownership: Mapping[str, Ownership],
-    ) -> tuple[Release, ...]:
-        """Return the releases that were not acted on yet."""
+    def list_open(self, view: View, is_leaving: bool) -> tuple[Release, ...]:
+        """Return the releases to tell, and forget those that are settled."""
         with self._lock:
             for release in tuple(self._releases.values()):
-                owned = ownership.get(release.target)
-                if _is_passed_on(release, owned):
+                if _is_settled(release, view, is_leaving):
                     self._releases.pop(release.target)
             return tuple(self._releases.values())
--- a/shallotgate/membership/_session.py
+++ b/shallotgate/membership/_session.py
@@ -157,6 +157,7 @@
     def _make_heartbeat(self, sequence: int) -> Heartbeat:
         view = self._view.current()
         settings = self._settings
+        is_leaving = self._announced == 'leaving'
         return Heartbeat(
             sequence=sequence,
             domain=settings.domain,
@@ -166,7 +167,7 @@
             roles=settings.roles,
             readiness=self._announced,
             versions=view.versions,
-            releases=self._releases.list_open(view.ownership),
+            releases=self._releases.list_open(view, is_leaving),
         )
 
     def _take(self, beat: Beat, reply: HeartbeatReply) -> None:
