Report no release for a target whose entry was edited

Cause: an edit of a target's slots or address closed its pool and reported a release under the held epoch, although the pool is opened again at once. The leader could take that word for the end of a later move. Change: a release is reported only for a target that this instance is no longer to serve. Conclusion: a release now always means that the owner has let go.

--- a/shallotgate/targets/_owned.py
+++ b/shallotgate/targets/_owned.py
@@ -19,7 +19,7 @@
 from shallotgate.targets._edge import TargetEdge
 from shallotgate.targets._gate import Gate
 from shallotgate.targets._pool import PoolParts, TargetPool
-from shallotgate.targets._pools import Pools, Wanted, list_wanted
+from shallotgate.targets._pools import Pools, Wanted
 from shallotgate.targets._suspects import SuspectLedger
 from shallotgate.targets._work import OnReply, Outcome, Work
 from shallotgate.targets._worker import poll_reports, serve_connection
@@ -89,8 +89,6 @@
         self._pools = Pools()
         # Held while the pools are brought in line with the view.
         self._following = threading.Lock()
-        # Held while the pools are brought in line with the view.
-        self._following = threading.Lock()
         # Attempts without a reply, by id.
         self._works: dict[str, tuple[TargetPool, Work]] = {}
         self._sweeping: Subscription | None = None
@@ -161,10 +159,10 @@
             # Read under the lock: several threads come here, and the last
             # one must act on the newest view.
             view = self._view.current()
-            wanted = list_wanted(view, self._parts.gate.owner)
-            if self._pools.is_stopping:
-                wanted = {}
-            opened, closed = self._pools.change(wanted, self._make_pool)
+            opened, closed = self._pools.change(
+                self._pools.list_wanted(view, self._parts.gate.owner),
+                self._make_pool,
+            )
         self._suspects.follow(view)
         for pool in closed:
             pool.close()
@@ -213,7 +211,14 @@
     def _leave(self, pool: TargetPool, *, is_worker: bool) -> None:
         if not pool.leave(is_worker):
             return
-        if self._policy.limits == 'owner':
+        # A target whose catalogue entry was edited is opened again at once and
+        # stays owned: no release is reported for it.
+        wanted = self._pools.list_wanted(
+            self._view.current(),
+            self._parts.gate.owner,
+        )
+        is_kept = pool.target.name in wanted
+        if self._policy.limits == 'owner' and not is_kept:
             self._on_release(
                 Release(
                     target=pool.target.name,
--- a/shallotgate/targets/_pools.py
+++ b/shallotgate/targets/_pools.py
@@ -21,7 +21,7 @@
     learnt: Learnt | None
 
 
-def list_wanted(
+def _list_wanted(
     view: View,
     owner: tuple[str, str] | None,
 ) -> dict[str, Wanted]:
@@ -59,6 +59,14 @@
         self._closing: dict[str, TargetPool] = {}
         self._changed = threading.Condition()
 
+    def list_wanted(
+        self,
+        view: View,
+        owner: tuple[str, str] | None,
+    ) -> Mapping[str, Wanted]:
+        """Return the targets to serve by name; none while stopping."""
+        return {} if self.is_stopping else _list_wanted(view, owner)
+
     def get(self, name: str) -> TargetPool | None:
         """Return the open pool of a target."""
         return self._open.get(name)
--- a/shallotgate/targets/tests/test_owned.py
+++ b/shallotgate/targets/tests/test_owned.py
@@ -1,3 +1,4 @@
+import dataclasses
 import itertools
 import queue
 import random
@@ -429,3 +430,13 @@
     assert running.get(timeout=WAIT_S).status == 'ok'
     rig.owned.stop()
     assert not rig.edge.connections
+
+
+def test_edited_target_is_opened_again_without_a_release(make_rig):
+    """Guards against a target that is taken from its owner by an edit."""
+    rig = make_rig()
+    assert rig.run().status == 'ok'
+    rig.target = dataclasses.replace(rig.target, slots=4)
+    rig.own()
+    wait_until(lambda: rig.run().status == 'ok', 'the pool of the edit')
+    assert rig.releases.empty()
