--- a/shallotgate/membership/_session.py
+++ b/shallotgate/membership/_session.py
@@ -71,7 +71,12 @@
         self._metrics = metrics
         self._announced: Readiness = 'starting'
         self._releases = ReleaseList()
-        self._applier = StateApplier(self.link, mailbox, tier_view)
+        self._applier = StateApplier(
+            self.link,
+            mailbox,
+            tier_view,
+            self._releases,
+        )
         self._sequences = itertools.count(1)
         generator = random.Random(f'{settings.seed}{start_id}')  # noqa: S311
         self._pacer = Pacer(self.link, generator)
@@ -152,6 +157,7 @@
     def _make_heartbeat(self, sequence: int) -> Heartbeat:
         view = self._view.current()
         settings = self._settings
+        is_leaving = self._announced == 'leaving'
         return Heartbeat(
             sequence=sequence,
             domain=settings.domain,
@@ -161,7 +167,7 @@
             roles=settings.roles,
             readiness=self._announced,
             versions=view.versions,
-            releases=self._releases.list_open(view.ownership),
+            releases=self._releases.list_open(view, is_leaving),
         )
 
     def _take(self, beat: Beat, reply: HeartbeatReply) -> None:
