--- a/testkit/standin/_server.py
+++ b/testkit/standin/_server.py
@@ -134,7 +134,15 @@
         if status == 'shed':
             target.count(status)
         if status == 'ok' and target.behaviour.nonsense:
-            return _send_nonsense(client, self._make_reply(run, status), target)
+            reply = self._make_reply(run, status)
+            if target.behaviour.nonsense == 'crossed':
+                reply = target.swap_reply(reply)
+            elif target.behaviour.nonsense == 'wrong_version':
+                version = run['index_version'] + 1
+                reply['matches'] = target.find_matches(
+                    {**run, 'index_version': version},
+                )[: run['limit']]
+            return _send_nonsense(client, reply, target)
         return self._encode_run(run, status)
 
     def _serve_attempt(
@@ -228,7 +236,7 @@
         return None
     if kind == 'wrong_match':
         reply['matches'].append({'id': 5})
-    else:
+    elif kind != 'crossed':
         name = {'wrong_id': 'attempt_id', 'wrong_version': 'index_version'}
         field = name.get(kind, 'partition')
         reply[field] = 'other' if field == 'attempt_id' else reply[field] + 1
--- a/testkit/standin/_target.py
+++ b/testkit/standin/_target.py
@@ -47,7 +47,8 @@
     # Fields of /v1/status that are overridden.
     lie: Mapping[str, Any] = field(default_factory=dict)
     # Fault in replies: '', garbage, huge, drip, wrong_id, wrong_version,
-    # wrong_partition, wrong_match or silent.
+    # wrong_partition, wrong_match, crossed (the reply to the attempt before)
+    # or silent.
     nonsense: str = ''
     # Index versions: index_version, partitions, held.
     versions: list[dict[str, Any]] = field(default_factory=list)
@@ -83,6 +84,7 @@
         self._collapsed_until = float(0)
         self._overfed: list[tuple[float, float]] = []
         self._busy = 0
+        self._kept_reply: dict[str, Any] = {}
         self._cached: tuple[float, dict[str, Any]] = (float('-inf'), {})
 
     def change(self, edits: Mapping[str, Any]) -> dict[str, Any]:
@@ -184,6 +186,13 @@
             if key:
                 self.ran_keys[str(key)] += 1
 
+    def swap_reply(self, reply: dict[str, Any]) -> dict[str, Any]:
+        """Keep a reply and return the one kept before."""
+        with self._lock:
+            former = self._kept_reply or reply
+            self._kept_reply = reply
+        return former
+
     def find_matches(self, run: Mapping[str, Any]) -> list[dict[str, Any]]:
         """Return all matches of a run."""
         return make_matches(
