Prove own answers with real processes

Change: tests/test_own_answer.py sends distinct queries from up to twelve concurrent callers while targets are slow, silent or reply late, attempts are hedged and cancelled, connections to targets are cut, callers leave before their answer and a target swaps the replies of two requests. Each answer is compared with what the stand-ins hold for that query. Counters of the stand-ins are reset after the probes that wait for service, so that a test counts its own requests only.

--- /dev/null
+++ b/tests/test_own_answer.py
@@ -0,0 +1,127 @@
+"""G5: each caller gets the whole answer to its own request."""
+
+import pytest
+
+from shallotgate.cli import UnknownOutcomeError
+from testkit.runner import wait_until
+from tests.tier_kit import (
+    LIMIT_S,
+    PARTITIONS,
+    Load,
+    find_faults,
+    make_random,
+    run_scene,
+)
+
+WORKERS = 12
+CUTS = 6
+LEAVERS = 10
+ANSWERS = 40
+
+
+@pytest.fixture(scope='module')
+def running():
+    with run_scene() as scene:
+        yield scene
+
+
+@pytest.fixture
+def scene(running):
+    running.restore()
+    return running
+
+
+def check_own(scene, load):
+    """Return the answers after checking that each is its caller's own."""
+    found = [(query, answer) for query, answer in load.answers if answer]
+    faults = [
+        (find_faults(query, answer, scene.partitions), query, answer)
+        for query, answer in found
+    ]
+    assert [fault for fault in faults if fault[0]] == []
+    answers = [answer for _, answer in found]
+    assert len({one['request_id'] for one in answers}) == len(answers)
+    # No entry was disturbed, so every caller is answered.
+    assert len(answers) == len(load.answers)
+    complete = [one for one in answers if one['outcome'] == 'complete']
+    assert len(complete) * 2 > len(answers)
+    return answers
+
+
+def count_cancelled(scene):
+    return sum(
+        scene.set(target)['counters'].get('cancelled', 0)
+        for target in scene.targets
+    )
+
+
+@pytest.mark.parametrize('class_name', ['plain', 'screened'])
+def test_late_and_cancelled_replies_stay_apart(scene, class_name):
+    """Guards against a late or a loser's reply given to another caller."""
+    generator = make_random('late replies')
+    fields = {'class_name': class_name, 'deadline_ms': 1500}
+    with Load(scene, generator, WORKERS, **fields) as load:
+        # Hedges start once the usual latency is known.
+        load.wait_more(5 * ANSWERS)
+        scene.set(scene.list_targets('find-0')[0], slow_factor=50)
+        scene.set(scene.list_targets('find-1')[1], nonsense='silent')
+        scene.delay(scene.list_targets('find-2')[2], 80)
+        wait_until(
+            lambda: count_cancelled(scene) > 2, LIMIT_S, 'cancelled attempts'
+        )
+        load.wait_more(ANSWERS)
+    answers = check_own(scene, load)
+    # Hedges or retries were sent, so that there were losers.
+    assert any(one['attempts'] > PARTITIONS for one in answers)
+
+
+def test_cut_connections_mix_no_answers(scene):
+    """Guards against a reply read on from the exchange before a cut."""
+    generator = make_random('cut connections')
+    for target in scene.targets:
+        scene.set(target, service_ms=20)
+    with Load(scene, generator, WORKERS) as load:
+        load.wait_more(ANSWERS)
+        for _ in range(CUTS):
+            target = generator.choice(list(scene.targets))
+            scene.cut(target)
+            load.wait_more(ANSWERS // 2)
+            scene.tier.proxy.heal(f'>{target}')
+            load.wait_more(ANSWERS // 2)
+    check_own(scene, load)
+
+
+def test_callers_that_leave_disturb_no_others(scene):
+    """Guards against an answer that goes to the caller after one that left."""
+    generator = make_random('leaving callers')
+    for target in scene.targets:
+        scene.set(target, service_ms=50)
+    with Load(scene, generator, WORKERS // 2) as load:
+        load.wait_more(ANSWERS // 2)
+        for number in range(LEAVERS):
+            entry = generator.choice(scene.entries)
+            request = {
+                'group': 'find',
+                'class_name': 'plain',
+                'query': {'leaver': number},
+            }
+            client = scene.tier.clients.caller(entry, 'desk')
+            with pytest.raises(UnknownOutcomeError):
+                client.call('POST', '/v1/query', request, 0.01)
+        load.wait_more(ANSWERS)
+    check_own(scene, load)
+
+
+def test_crossed_replies_of_a_target_are_not_used(scene):
+    """Guards against a target that swaps the replies of two requests."""
+    generator = make_random('crossed replies')
+    liar = scene.list_targets('find-1')[0]
+    scene.set(liar, nonsense='crossed')
+    with Load(scene, generator) as load:
+        load.wait_more(ANSWERS)
+        wait_until(
+            lambda: scene.set(liar)['counters'].get('ran', 0) > 3,
+            LIMIT_S,
+            'attempts on the target that swaps replies',
+        )
+    check_own(scene, load)
--- a/tests/tier_kit.py
+++ b/tests/tier_kit.py
@@ -147,7 +147,7 @@
                 total[name] = total.get(name, 0) + count
         return total
 
-    def ask(self, entry, query, **fields):
+    def ask(self, entry, query, timeout_s=_CLIENT_TIMEOUT_S, **fields):
         """Return the answer, None if the connection broke."""
         request = {
             'group': FIND,
@@ -157,7 +157,7 @@
         } | fields
         client = self.tier.clients.caller(entry, 'desk')
         try:
-            reply = client.call('POST', '/v1/query', request, _CLIENT_TIMEOUT_S)
+            reply = client.call('POST', '/v1/query', request, timeout_s)
         except (ServerUnreachableError, UnknownOutcomeError):
             return None
         return reply.content
@@ -190,6 +190,9 @@
                 f'{target} listens',
             )
         self.wait_serving()
+        # So that a test counts its own requests only.
+        for target in self.targets:
+            self.set(target, reset=True)
 
     def _reset(self, target):
         with contextlib.suppress(urllib3.exceptions.HTTPError):
@@ -232,6 +235,8 @@
         self.scene = scene
         # Pairs of query and answer; None if the connection broke.
         self.answers = []
+        # Entries that queries go to; a test may take one out.
+        self.entries = list(scene.entries)
         self._fields = fields
         self._workers = workers
         self._stop = threading.Event()
@@ -275,7 +280,7 @@
         while not self._stop.is_set():
             number += 1
             query = {'seed': seed, 'number': number}
-            entry = generator.choice(self.scene.entries)
+            entry = generator.choice(self.entries)
             answer = self.scene.ask(entry, query, **self._fields)
             self.answers.append((query, answer))
             if answer is None:
