Prove that refusals are true with real processes

Change: tests/test_true_refusals.py compares each refused answer with the stand-ins' counters by request id, under overload, deadlines that pass while a target runs, targets that shed, an entry killed or frozen past its lease under load, and two of three control members killed. Requests sent more than 5 s after the majority was lost must be refused, until it returns.

--- /dev/null
+++ b/tests/test_true_refusals.py
@@ -0,0 +1,153 @@
+"""G6: what was refused was not run by any target."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from testkit.runner import wait_until
+from tests.tier_kit import LIMIT_S, Load, make_random, run_scene
+
+ANSWERS = 30
+# Entries refuse this long after the majority was lost.
+REFUSING_AFTER_S = 5
+BURST = 160
+
+
+@pytest.fixture(scope='module')
+def running():
+    with run_scene() as scene:
+        yield scene
+
+
+@pytest.fixture
+def scene(running):
+    running.restore()
+    return running
+
+
+def check_refusals(scene, answers):
+    """Check that no refused request was run; return answers by outcome."""
+    ran = scene.sum_counts('ran_requests')
+    outcomes = {}
+    for answer in filter(None, answers):
+        outcomes.setdefault(answer['outcome'], []).append(answer)
+    refused = outcomes.get('refused', [])
+    assert [one for one in refused if ran.get(one['request_id'])] == []
+    complete = outcomes.get('complete', [])
+    # Otherwise the counters would not show what was run.
+    assert all(ran.get(one['request_id']) for one in complete)
+    return outcomes
+
+
+@pytest.mark.parametrize('class_name', ['plain', 'screened'])
+def test_overload_refuses_only_what_was_not_run(scene, class_name):
+    """Guards against a request that is shed after a target has begun it."""
+    generator = make_random('overload')
+    for target in scene.targets:
+        scene.set(target, service_ms=150)
+
+    def ask(number):
+        return scene.ask(
+            scene.entries[number % len(scene.entries)],
+            {'burst': number, 'class': class_name},
+            class_name=class_name,
+            deadline_ms=generator.choice((400, 900, 1500)),
+        )
+
+    with ThreadPoolExecutor(BURST) as pool:
+        answers = list(pool.map(ask, range(BURST)))
+    outcomes = check_refusals(scene, answers)
+    assert outcomes['refused']
+    assert outcomes['complete']
+
+
+def test_deadline_while_a_target_runs_is_no_refusal(scene):
+    """Guards against "not run" for what a target has begun."""
+    for target in scene.targets:
+        scene.set(target, service_ms=2000)
+    # Distinct queries, one after another on each entry.
+    answers = [
+        scene.ask(entry, {'slow': entry, 'class': name}, **fields)
+        for entry in scene.entries
+        for name, fields in (
+            ('plain', {'class_name': 'plain', 'deadline_ms': 500}),
+            ('screened', {'class_name': 'screened', 'deadline_ms': 500}),
+        )
+    ]
+    outcomes = check_refusals(scene, answers)
+    assert 'complete' not in outcomes
+    ran = scene.sum_counts('ran_requests')
+    assert any(ran.get(one['request_id']) for one in answers)
+
+
+def test_targets_that_shed_are_refusals_without_a_run(scene):
+    """Guards against a shed attempt that is told as perhaps run."""
+    for target in scene.targets:
+        scene.set(target, shedding=True)
+    answers = [
+        scene.ask(entry, {'shed': entry}, deadline_ms=500)
+        for entry in scene.entries
+    ]
+    outcomes = check_refusals(scene, answers)
+    assert list(outcomes) == ['refused'], outcomes
+    assert not scene.sum_counts('ran_requests')
+
+
+@pytest.mark.parametrize('fault', ['kill', 'freeze'])
+def test_lost_owner_makes_no_false_refusals(scene, fault):
+    """Guards against "not run" for an attempt that a lost owner sent."""
+    generator = make_random('lost owner')
+    for target in scene.targets:
+        scene.set(target, service_ms=60)
+    victim = generator.choice(scene.entries)
+    process = scene.tier.instances[victim]
+    others = [entry for entry in scene.entries if entry != victim]
+    with Load(scene, generator, workers=10) as load:
+        load.wait_more(ANSWERS)
+        getattr(process, fault)()
+        # Some workers already wait for an answer of the lost entry.
+        load.entries = others
+        wait_until(
+            lambda: all(scene.tier.clients.is_ready(entry) for entry in others),
+            LIMIT_S,
+            'the other entries ready',
+        )
+        load.wait_more(ANSWERS)
+        if fault == 'freeze':
+            # Longer than a lease, so that it wakes without one.
+            time.sleep(REFUSING_AFTER_S)
+            process.wake()
+        else:
+            process.start()
+        scene.tier.wait_ready(victim)
+        load.entries = scene.entries
+        load.wait_more(ANSWERS)
+    assert check_refusals(scene, [answer for _, answer in load.answers])[
+        'complete'
+    ]
+
+
+def test_lost_majority_stops_service_until_it_returns(scene):
+    """Guards against an entry that serves on when its lease has ended."""
+    generator = make_random('lost majority')
+    left, *lost = generator.sample(scene.entries, len(scene.entries))
+    with Load(scene, generator) as load:
+        load.wait_more(ANSWERS)
+        for entry in lost:
+            scene.tier.instances[entry].kill()
+        lost_at = time.monotonic()
+        late = []
+        while time.monotonic() - lost_at < 2 * REFUSING_AFTER_S:
+            is_late = time.monotonic() - lost_at > REFUSING_AFTER_S
+            answer = scene.ask(left, {'left': len(load.answers)})
+            if is_late:
+                late.append(answer)
+            time.sleep(0.1)
+        assert late
+        assert {one['outcome'] for one in late} == {'refused'}
+        for entry in lost:
+            scene.tier.instances[entry].start()
+        scene.tier.wait_ready(*scene.entries)
+        scene.wait_serving()
+    check_refusals(scene, [*late, *(one for _, one in load.answers)])
