Test the configuration from outside under faults

Change: tests/test_configuration.py runs four entries, three of them control members, behind the fault proxy. Every instance is polled for its readiness and its version while the leader is killed, a member is cut off silently, an entry is frozen and woken with a revoked caller, operators race, a change is resent after a lost answer, after the kill of the leader and after a restart of all, and all are restarted after 300 changes. ManagedProcess.terminate asks a process to end without waiting.

--- a/testkit/runner/_process.py
+++ b/testkit/runner/_process.py
@@ -71,9 +71,13 @@
 
     def stop(self, limit_s: float = 30) -> int:
         """Ask it to end and return the exit status."""
-        self._signal(signal.SIGTERM)
+        self.terminate()
         return self.wait(limit_s)
 
+    def terminate(self) -> None:
+        """Ask it to end, without waiting."""
+        self._signal(signal.SIGTERM)
+
     def wait(self, limit_s: float) -> int:
         """Wait for its end and return the exit status."""
         if self._process is not None:
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,290 @@
+import random
+import socket
+import threading
+import time
+from collections import Counter
+
+import pytest
+
+from shallotgate.codec import encode_json
+from testkit.runner import OPERATOR_TOKENS, wait_until
+from tests.control_tier import (
+    IN_FORCE_S,
+    LEASE_S,
+    LIMIT_S,
+    Watch,
+    add_domain,
+    choose_seed,
+    find_leader,
+    is_serving,
+    list_members,
+    make_change,
+    make_tier,
+    query,
+    recover,
+    send_change,
+    wait_complete,
+)
+
+CHANGES = 300
+RACERS = 8
+
+
+@pytest.fixture(scope='module')
+def running():
+    with make_tier(choose_seed()) as tier:
+        tier.start()
+        yield tier
+
+
+@pytest.fixture
+def tier(running):
+    recover(running)
+    yield running
+    recover(running)
+    assert running.list_breaches() == []
+
+
+@pytest.fixture
+def generator():
+    return random.Random(choose_seed())
+
+
+def choose_name(generator):
+    return f'spare-{generator.randrange(10**9)}'
+
+
+def check_in_force(tier, watch, version, accepted_at, names):
+    """Check that running instances have a version within the bound."""
+    tier.clients.wait_version(version, names, LIMIT_S)
+    took_s = time.monotonic() - accepted_at
+    print(f'version {version} in force after {took_s:.2f} s')
+    assert took_s < IN_FORCE_S
+    assert watch.list_faults(version, accepted_at) == []
+
+
+def list_recorded(tier, instance):
+    """Return how often each change id is in the history."""
+    history = tier.clients.read(instance, '/v1/history')
+    return Counter(record['change_id'] for record in history)
+
+
+def test_change_survives_the_kill_of_the_leader(tier, generator):
+    """Guards against changes that are lost or late with their leader."""
+    leader = find_leader(tier)
+    others = [name for name in tier.instances if name != leader]
+    with Watch(tier) as watch:
+        version = add_domain(tier, others[0], choose_name(generator))
+        accepted_at = time.monotonic()
+        tier.instances[leader].kill()
+        check_in_force(tier, watch, version, accepted_at, others)
+        # Once more, under the next leader.
+        version = add_domain(tier, others[1], choose_name(generator))
+        accepted_at = time.monotonic()
+        check_in_force(tier, watch, version, accepted_at, others)
+        tier.restart(leader)
+        assert tier.clients.read_version(leader) >= version
+    assert watch.list_faults(version, accepted_at) == []
+
+
+@pytest.mark.parametrize('role', ['leader', 'follower'])
+def test_member_that_is_cut_off_does_not_serve(tier, generator, role):
+    """Guards against a cut-off member that serves an old configuration."""
+    leader = find_leader(tier)
+    followers = [name for name in list_members(tier) if name != leader]
+    cut = leader if role == 'leader' else generator.choice(followers)
+    others = [name for name in tier.instances if name != cut]
+    old = tier.clients.read_version(cut)
+    with Watch(tier) as watch:
+        tier.isolate(cut)
+        version = add_domain(tier, others[0], choose_name(generator))
+        accepted_at = time.monotonic()
+        check_in_force(tier, watch, version, accepted_at, others)
+        wait_until(
+            lambda: time.monotonic() > accepted_at + IN_FORCE_S + LEASE_S,
+            LIMIT_S,
+            'the end of the lease',
+        )
+        assert tier.clients.read_version(cut) == old
+        assert not is_serving(tier, cut)
+        tier.proxy.heal()
+        tier.wait_ready(*tier.instances)
+        assert tier.clients.read_version(cut) >= version
+    assert any(sample.instance == cut for sample in watch.samples)
+    assert watch.list_faults(version, accepted_at) == []
+
+
+def test_woken_entry_does_not_serve_the_old_configuration(tier, generator):
+    """Guards against a frozen entry that wakes with a revoked caller."""
+    frozen = generator.choice(list(tier.instances))
+    others = [name for name in tier.instances if name != frozen]
+    wait_complete(tier)
+    catalogue = tier.clients.read(others[0], '/v1/catalogue')
+    spec = catalogue['callers']['tellers']
+    revoked = spec | {'key_sha256': '0' * 64}
+    answers = []
+    with Watch(tier) as watch:
+        tier.instances[frozen].freeze()
+        # The leader itself may be frozen: the change waits for the next one.
+        change = make_change(catalogue['version'], choose_name(generator))
+        change['edits'] = [make_caller_edit(revoked)]
+        reply = send_change(tier, others[0], change)
+        assert reply.status == 200, reply
+        accepted_at = time.monotonic()
+        version = reply.content['version']
+        check_in_force(tier, watch, version, accepted_at, others)
+        # These requests wait in the sockets of the frozen process.
+        senders = [
+            threading.Thread(
+                target=lambda item=item: answers.append(
+                    query(tier, frozen, item)
+                ),
+            )
+            for item in range(20)
+        ]
+        for sender in senders:
+            sender.start()
+        wait_until(
+            lambda: time.monotonic() > accepted_at + IN_FORCE_S + LEASE_S,
+            LIMIT_S,
+            'the end of the lease',
+        )
+        tier.instances[frozen].wake()
+        for sender in senders:
+            sender.join(LIMIT_S)
+        tier.wait_ready(*tier.instances)
+        assert tier.clients.read_version(frozen) >= version
+    base = tier.clients.read_version(frozen)
+    change = make_change(base, choose_name(generator))
+    change['edits'] = [make_caller_edit(spec)]
+    assert send_change(tier, frozen, change).status == 200
+    assert len(answers) == 20
+    assert {answer['outcome'] for answer in answers} == {'refused'}
+    assert watch.list_faults(version, accepted_at) == []
+
+
+def make_caller_edit(spec):
+    return {'op': 'put', 'kind': 'callers', 'name': 'tellers', 'spec': spec}
+
+
+def test_one_of_racing_operators_wins(tier, generator):
+    """Guards against two changes that both replace the same version."""
+    base = tier.clients.read_version(find_leader(tier))
+    entries = list(tier.instances)
+    names = [f'{choose_name(generator)}-{turn}' for turn in range(RACERS)]
+    barrier = threading.Barrier(RACERS)
+    replies = {}
+
+    def race(turn):
+        change = make_change(base, names[turn])
+        barrier.wait()
+        entry = entries[turn % len(entries)]
+        replies[names[turn]] = send_change(tier, entry, change)
+
+    racers = [threading.Thread(target=race, args=(i,)) for i in range(RACERS)]
+    for racer in racers:
+        racer.start()
+    for racer in racers:
+        racer.join(LIMIT_S)
+    winners = [name for name, one in replies.items() if one.status == 200]
+    assert len(replies) == RACERS
+    assert len(winners) == 1
+    for name, reply in replies.items():
+        assert reply.content['version'] == base + 1
+        if name not in winners:
+            assert reply.status == 409
+            assert reply.content['outcome'] == 'conflict'
+            assert [one['name'] for one in reply.content['differences']] == (
+                winners
+            )
+    tier.clients.wait_version(base + 1, tier.instances, IN_FORCE_S)
+    domains = tier.clients.read(entries[0], '/v1/domains')
+    assert set(names) & set(domains) == set(winners)
+
+
+def send_and_hang_up(tier, instance, change):
+    """Send a change and close the connection without reading the answer."""
+    body = encode_json(change)
+    address = tier.layout.addresses[instance].operator
+    host, _, port = address.rpartition(':')
+    head = (
+        'POST /v1/catalogue HTTP/1.1\r\n'
+        f'Host: {address}\r\n'
+        f'Authorization: Bearer {OPERATOR_TOKENS["admin"]}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    with socket.create_connection((host, int(port)), LIMIT_S) as connection:
+        connection.sendall(head.encode() + body)
+
+
+def kill_all(tier):
+    for process in tier.instances.values():
+        process.kill()
+
+
+def test_resent_change_gets_its_first_verdict(tier, generator):
+    """Guards against a change that is applied twice when it is resent."""
+    leader = find_leader(tier)
+    others = [name for name in tier.instances if name != leader]
+    base = tier.clients.read_version(others[0])
+    change = make_change(base, choose_name(generator))
+    send_and_hang_up(tier, others[0], change)
+    tier.clients.wait_version(base + 1, others, LIMIT_S)
+    verdicts = [send_change(tier, others[1], change).content]
+    tier.instances[leader].kill()
+    verdicts.append(send_change(tier, others[1], change).content)
+    kill_all(tier)
+    recover(tier)
+    verdicts.extend(
+        send_change(tier, name, change).content for name in tier.instances
+    )
+    assert verdicts[0]['outcome'] == 'accepted'
+    assert verdicts[0]['version'] == base + 1
+    assert verdicts == verdicts[:1] * len(verdicts)
+    assert list_recorded(tier, leader)[change['change_id']] == 1
+    assert {tier.clients.read_version(name) for name in tier.instances} == {
+        base + 1
+    }
+
+
+def test_all_changes_are_there_after_a_restart_of_all(tier, generator):
+    """Guards against changes that a restart of all processes loses."""
+    entry = find_leader(tier)
+    base = tier.clients.read_version(entry)
+    prefix = choose_name(generator)
+    names = [f'{prefix}-{turn}' for turn in range(CHANGES)]
+    for turn, name in enumerate(names):
+        reply = send_change(tier, entry, make_change(base + turn, name))
+        assert reply.status == 200, reply
+    kill_all(tier)
+    # From now on every ready instance must have all of them.
+    due_at = time.monotonic() - IN_FORCE_S
+    with Watch(tier) as watch:
+        recover(tier)
+        version = base + CHANGES
+        found = [
+            tier.clients.read(name, '/v1/catalogue') for name in tier.instances
+        ]
+        assert {one['version'] for one in found} == {version}
+        for catalogue in found:
+            assert set(names) <= set(catalogue['domains'])
+    assert watch.list_faults(version, due_at) == []
+
+
+def test_new_entry_starts_with_the_present_version(tier, generator):
+    """Guards against an entry that serves before it has the configuration."""
+    other, *_, entry = tier.instances
+    tier.instances[entry].kill()
+    version = add_domain(tier, other, choose_name(generator))
+    with Watch(tier) as watch:
+        tier.restart(entry)
+        assert tier.clients.read_version(entry) >= version
+    early = [
+        sample
+        for sample in watch.samples
+        if sample.instance == entry
+        and sample.ready
+        and sample.version < version
+    ]
+    assert early == []
