Test that callers do not notice a lost control leader

Cause: no test counted the answers of callers while the leader was lost.

Change: tests/test_leader_lost.py keeps queries on the other entries while the leader is killed and restarted, and on all entries that are ready while it is stopped. Answers are counted by outcome.

Requests under way at the killed process itself are not counted.

--- /dev/null
+++ b/tests/test_leader_lost.py
@@ -0,0 +1,71 @@
+import pytest
+
+from testkit.runner import wait_until
+from tests.control_tier import (
+    LIMIT_S,
+    SteadyLoad,
+    choose_seed,
+    find_leader,
+    is_serving,
+    make_tier,
+    wait_complete,
+)
+
+ANSWERS = 150
+
+
+@pytest.fixture
+def seed():
+    return choose_seed()
+
+
+@pytest.fixture
+def tier(seed):
+    with make_tier(seed) as tier:
+        tier.start()
+        wait_complete(tier)
+        yield tier
+        assert tier.list_breaches() == []
+
+
+def check(load):
+    print(f'answers: {dict(load.count())}')
+    assert load.list_bad('refused', 'failed', 'unknown', 'cut') == []
+    assert load.count()['complete'] > ANSWERS
+
+
+def test_kill_of_the_leader_causes_no_refusal(tier, seed):
+    """Guards against callers that are refused during an election."""
+    leader = find_leader(tier)
+    others = [name for name in tier.instances if name != leader]
+    with SteadyLoad(tier, seed, lambda: others) as load:
+        load.wait_more(ANSWERS)
+        tier.instances[leader].kill()
+        successor = find_leader(tier, *others)
+        load.wait_more(ANSWERS)
+        tier.restart(leader)
+        load.wait_more(ANSWERS)
+    assert successor != leader
+    check(load)
+
+
+def test_stop_of_the_leader_causes_no_refusal(tier, seed):
+    """Guards against a leader that leaves before another one leads."""
+    leader = find_leader(tier)
+    others = [name for name in tier.instances if name != leader]
+    rotation = [list(tier.instances)]
+    with SteadyLoad(tier, seed, lambda: rotation[0]) as load:
+        load.wait_more(ANSWERS)
+        process = tier.instances[leader]
+        process.terminate()
+        wait_until(
+            lambda: not is_serving(tier, leader),
+            LIMIT_S,
+            f'{leader} not ready',
+        )
+        rotation[0] = others
+        assert process.wait(LIMIT_S) == 0
+        successor = find_leader(tier, *others)
+        load.wait_more(ANSWERS)
+    assert successor != leader
+    check(load)
