--- a/testkit/runner/_layout.py
+++ b/testkit/runner/_layout.py
@@ -125,6 +125,7 @@
             'connect-ms': service.connect_ms,
             'service-ms': service.service_ms,
             'cold-slots': service.cold_slots,
+            'cold-ms': service.cold_ms,
             'versions': f'1:{service.partitions}:{held}',
         }
         pairs = ((f'--{name}', str(text)) for name, text in options.items())
--- a/testkit/runner/_plan.py
+++ b/testkit/runner/_plan.py
@@ -42,6 +42,8 @@
     connect_ms: float
     service_ms: float = 5
     cold_slots: int = 1
+    # Time after the start during which a stand-in is cold.
+    cold_ms: float = 0
     # Partitions of the group in the first index version and those held here.
     partitions: int = 1
     held: tuple[int, ...] = (0,)
