Treat targets of a failure domain that was taken out as cold

Cause: the owner kept the learnt limit while a domain was out, so that the targets got full load in the first second after the return. Change: the owner turns such a target cold; tests/test_domain_out.py covers a domain that leaves and returns under load, a frozen owner woken later and an owner that is cut off from the control group. A duplicated assignment of a lock is removed.

--- a/shallotgate/targets/_owned.py
+++ b/shallotgate/targets/_owned.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from shallotgate.errors import Finding, SettingsError
 from shallotgate.generated.messages import (
@@ -89,8 +89,6 @@
         self._pools = Pools()
         # Held while the pools are brought in line with the view.
         self._following = threading.Lock()
-        # Held while the pools are brought in line with the view.
-        self._following = threading.Lock()
         # Attempts without a reply, by id.
         self._works: dict[str, tuple[TargetPool, Work]] = {}
         self._sweeping: Subscription | None = None
@@ -165,6 +163,7 @@
             if self._pools.is_stopping:
                 wanted = {}
             opened, closed = self._pools.change(wanted, self._make_pool)
+            _cool_taken_out(view, self._pools.list_open())
         self._suspects.follow(view)
         for pool in closed:
             pool.close()
@@ -254,6 +253,18 @@
             _LOGGER.exception('A reply could not be handed over.')
 
 
+def _cool_taken_out(view: View, pools: Iterable[TargetPool]) -> None:
+    """Turn the targets of domains that were taken out cold.
+
+    They get no work for an unknown time, so that they start again as cold
+    ones when the domain returns.
+    """
+    for pool in pools:
+        if view.is_taken_out(pool.target.domain):
+            with pool.lock:
+                pool.core.limiter.turn_cold()
+
+
 def _read_state(pool: TargetPool) -> TargetState:
     with pool.lock:
         return pool.core.make_state()
--- /dev/null
+++ b/tests/test_domain_out.py
@@ -0,0 +1,122 @@
+import time
+
+import pytest
+
+from testkit.runner import wait_until
+from tests.small_tier import (
+    LIMIT_S,
+    change_target,
+    make_deployment,
+    run_loaded,
+    wait_still,
+)
+
+OUT = 'b'
+# The entry that owns the targets of the failure domain.
+OWNER = 'entry-b'
+OTHER = 'entry-a'
+# The limit of a cold target does not grow before this many successes.
+GROWTH_RUN = 20
+SLOW_MS = 100
+
+
+def list_targets(tier):
+    return [
+        target.name
+        for _, target in tier.deployment.list_targets()
+        if target.domain == OUT
+    ]
+
+
+def set_taken_out(tier, taken_out):
+    """Return the monotonic time at which the change was accepted."""
+    spec = {'owner': 'platform', 'region': 'r', 'taken_out': taken_out}
+    edit = {'op': 'put', 'kind': 'domains', 'name': OUT, 'spec': spec}
+    tier.clients.change(OTHER, [edit], 'maintenance')
+    return time.monotonic()
+
+
+def wait_for_leader(tier):
+    """Wait until the control group is led by a reachable member."""
+
+    def is_led():
+        status = tier.clients.read(OTHER, '/v1/status')
+        return status and status.get('leader') not in {None, '', OWNER}
+
+    wait_until(is_led, LIMIT_S, 'another leader')
+
+
+def wait_warm(tier, names):
+    """Wait until the owner gives full slots to the targets."""
+
+    def is_warm():
+        page = tier.clients.read(OWNER, '/v1/targets') or {'targets': ()}
+        states = {row['target']: row['state'] for row in page['targets']}
+        found = [states.get(name) for name in names]
+        return all(state and not state['cold'] for state in found)
+
+    wait_until(is_warm, LIMIT_S, 'warm targets')
+
+
+def observe_ramp_up(tier, names):
+    """Return the most attempts at once of each target while it ramps up."""
+    most = dict.fromkeys(names, 0)
+
+    def is_past_growth():
+        counters = {name: change_target(tier, name) for name in names}
+        for name, seen in counters.items():
+            if 0 < seen['ran'] <= GROWTH_RUN:
+                most[name] = max(most[name], seen['most_busy'])
+        return all(seen['ran'] > GROWTH_RUN for seen in counters.values())
+
+    wait_until(is_past_growth, LIMIT_S, 'the returned targets are used')
+    return most
+
+
+def test_domain_leaves_and_returns_under_load():
+    """Guards against new work in the domain, lost coverage and a hot return."""
+    with run_loaded(make_deployment()) as (tier, load):
+        names = list_targets(tier)
+        wait_warm(tier, names)
+        started = time.monotonic()
+        accepted = set_taken_out(tier, True)
+        wait_still(tier, names, accepted, lambda: load.wait_more(200))
+        for name in names:
+            change_target(tier, name, reset=True, service_ms=SLOW_MS)
+        set_taken_out(tier, False)
+        assert observe_ramp_up(tier, names) == dict.fromkeys(names, 1)
+        load.wait_more(200)
+        load.stop()
+        outcomes = load.count(started)
+        assert set(outcomes) == {'complete'}, outcomes
+
+
+@pytest.mark.parametrize('fault', ['freeze', 'isolate'])
+def test_domain_is_out_despite_an_unaware_owner(fault):
+    """Guards against an owner that missed the change and feeds the domain.
+
+    The owner is frozen and woken later, or cut off from the control group.
+    """
+    with run_loaded(make_deployment(), proxied=True) as (tier, load):
+        names = list_targets(tier)
+        if fault == 'freeze':
+            load.entries.remove(OWNER)
+            tier.instances[OWNER].freeze()
+        else:
+            tier.isolate(OWNER)
+        wait_for_leader(tier)
+        accepted = set_taken_out(tier, True)
+
+        def recover():
+            load.entries = [name for name in tier.instances if name != OWNER]
+            load.wait_more(100)
+            if fault == 'freeze':
+                tier.instances[OWNER].wake()
+            else:
+                links = tier.proxy.list_links()
+                tier.proxy.heal(*(link for link in links if link[0] != '>'))
+            tier.wait_ready(OWNER)
+            load.entries = list(tier.instances)
+            load.wait_more(200)
+
+        wait_still(tier, names, accepted, recover)
