Keep drains that lagging or lying reports deny or invent

A report that repeated a false claim of a drain idled the target, because no reply was left to refute it. Change: a report older than the last reply of the same start is ignored. A claim that a reply refuted is ignored until a report denies or a reply shows a drain. tests/test_leaving_targets.py tells a drain only in replies, only in the report and only in the platform's list, and has reports lie both ways. A target whose fresh report denies the drain is still asked again 5 s after its last reply.

--- a/shallotgate/targets/_observation.py
+++ b/shallotgate/targets/_observation.py
@@ -30,6 +30,9 @@
         self._drain_uptime_ms = float('-inf')
         self._drain_hold_s = _DRAIN_HOLD_S
         self._drain_until = float('-inf')
+        # Whether a reply denied the drain that reports claim. A report that
+        # repeats the claim would leave no reply to refute it again.
+        self._is_claim_refuted = False
         self._denied: dict[tuple[int, int], float] = {}
 
     def see_reply(self, report: TargetReport, now: float) -> bool:
@@ -47,8 +50,11 @@
             self.draining = True
             self._drain_uptime_ms = report.uptime_ms
             self._drain_until = now + self._drain_hold_s
+            self._is_claim_refuted = False
         elif report.uptime_ms > self._drain_uptime_ms:
             # Said later than whatever claimed that it drains.
+            is_claim = self.draining and self._drain_until == float('-inf')
+            self._is_claim_refuted = self._is_claim_refuted or is_claim
             self.draining = False
             self._drain_until = float('-inf')
             self._drain_hold_s = _DRAIN_HOLD_S
@@ -61,14 +67,18 @@
             report.start_id == self.start_id
             and report.uptime_ms < self._reply_uptime_ms
         )
-        if is_older and trusts_replies:
+        if is_older:
+            # Reports may lag without bound. Taken as a restart, a lagging one
+            # would end a drain that replies showed.
             return False
         restarted = self._follow_start(report)
         if restarted or not trusts_replies:
             self.versions = report.versions
         if report.draining:
             self._note_drain(report)
-        elif now >= self._drain_until:
+            return restarted
+        self._is_claim_refuted = False
+        if now >= self._drain_until:
             self.draining = False
         return restarted
 
@@ -97,7 +107,7 @@
         )
 
     def _note_drain(self, report: TargetReport) -> None:
-        if not self.draining:
+        if not self.draining and not self._is_claim_refuted:
             self.draining = True
             self._drain_uptime_ms = report.uptime_ms
 
@@ -117,5 +127,6 @@
         self._drain_until = float('-inf')
         self._drain_hold_s = _DRAIN_HOLD_S
         self.draining = False
+        self._is_claim_refuted = False
         self._denied.clear()
         return not is_first
--- a/shallotgate/targets/tests/test_limiter.py
+++ b/shallotgate/targets/tests/test_limiter.py
@@ -160,6 +160,26 @@
     assert not seen.draining
 
 
+def test_refuted_drain_claim_is_not_believed_again():
+    """Guards against a target idled by a report that repeats a false claim."""
+    seen = Observation()
+    seen.see_report(make_report(1000, draining=True), 0)
+    seen.see_reply(make_report(1500), 0.1)
+    seen.see_report(make_report(2000, draining=True), 1)
+    assert not seen.draining
+    seen.see_report(make_report(3000), 2)
+    seen.see_report(make_report(4000, draining=True), 3)
+    assert seen.draining
+
+
+def test_lagging_report_is_no_restart():
+    """Guards against a drain forgotten because a report lags for long."""
+    seen = Observation()
+    seen.see_reply(make_report(9000, draining=True), 0)
+    assert not seen.see_report(make_report(1000), 60)
+    assert seen.draining
+
+
 def test_restart_is_seen_by_start_id_and_by_uptime():
     """Guards against a restarted target that is taken as warm."""
     seen = Observation()
--- /dev/null
+++ b/tests/test_leaving_targets.py
@@ -0,0 +1,147 @@
+import http.server
+import json
+import threading
+import time
+
+import pytest
+
+from tests.small_tier import (
+    BOUND_S,
+    DOMAINS,
+    SLOTS,
+    Load,
+    change_target,
+    make_deployment,
+    run_loaded,
+    wait_still,
+)
+
+LEAVING = 'trace-0-b'
+ENTRIES = len(DOMAINS)
+STALL_MS = 900
+SLOW_MS = 100
+
+
+class PlatformStandIn(http.server.ThreadingHTTPServer):
+    """Serves the platform's list of live and leaving instances."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(('127.0.0.1', 0), ListHandler)
+        self.leaving = set()
+        self.reads = 0
+
+    @property
+    def url(self):
+        return f'http://127.0.0.1:{self.server_port}/instances'
+
+
+class ListHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+
+    def do_GET(self):
+        """Serve the list."""
+        self.server.reads += 1
+        instances = [
+            {'name': name, 'state': 'leaving'} for name in self.server.leaving
+        ]
+        body = json.dumps({'instances': instances}).encode()
+        self.send_response(200)
+        self.send_header('Content-Type', 'application/json')
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        """Log nothing."""
+
+
+@pytest.fixture
+def platform():
+    server = PlatformStandIn()
+    thread = threading.Thread(target=server.serve_forever, daemon=True)
+    thread.start()
+    yield server
+    server.shutdown()
+    server.server_close()
+
+
+def check_left(tier, load, since):
+    """Check that no attempt reaches the target, not even to be refused."""
+    wait_still(tier, [LEAVING], since, lambda: load.wait_more(300))
+    load.stop()
+    outcomes = load.count(since)
+    assert set(outcomes) == {'complete'}, outcomes
+
+
+def test_drain_is_learnt_from_replies_alone():
+    """Guards against a lagging report that takes back what replies said."""
+    with run_loaded(make_deployment()) as (tier, load):
+        change_target(tier, LEAVING, draining=True, report_lag_ms=10**6)
+        check_left(tier, load, time.monotonic())
+
+
+def test_drain_is_learnt_from_the_report_alone():
+    """Guards against an idle target that is used because no reply told."""
+    with run_loaded(make_deployment()) as (tier, load):
+        load.stop()
+        change_target(tier, LEAVING, draining=True, reset=True)
+        since = time.monotonic()
+        time.sleep(BOUND_S)
+        again = Load(tier, seed=load.seed + 1)
+        again.start()
+        check_left(tier, again, since)
+        assert change_target(tier, LEAVING)['draining'] == 0
+
+
+def test_leaving_target_is_learnt_from_the_platform_alone(platform):
+    """Guards against work on a target that does not know that it leaves."""
+    settings = {'platform_url': platform.url}
+    with run_loaded(make_deployment(), settings=settings) as (tier, load):
+        platform.leaving = {LEAVING}
+        since = time.monotonic()
+        check_left(tier, load, since)
+        assert platform.reads > 0
+
+
+def test_report_that_denies_the_drain_is_not_believed():
+    """Guards against a lying report that outweighs replies.
+
+    The product asks the target again when 5 s have passed since a reply, and
+    then after twice as long each time, so that an end of the drain is seen.
+    """
+    with run_loaded(make_deployment()) as (tier, load):
+        change_target(
+            tier, LEAVING, draining=True, lie={'draining': False}, reset=True
+        )
+        since = time.monotonic()
+        time.sleep(BOUND_S)
+        load.wait_more(300)
+        seen = change_target(tier, LEAVING)
+        passed_s = time.monotonic() - since
+        print(f'{seen["draining"]} attempts refused in {passed_s:.1f} s')
+        # Slots in use or queued at the first refusal and at each retry.
+        assert seen['ran'] == 0
+        assert seen['draining'] <= 2 * (SLOTS + ENTRIES)
+        load.stop()
+        assert set(load.count(since)) == {'complete'}
+
+
+def test_report_that_claims_a_drain_is_not_believed():
+    """Guards against a lying report that idles a target whose replies deny."""
+    with run_loaded(make_deployment()) as (tier, load):
+        # Attempts that wait for the end of the stall are answered after the
+        # report, so that replies deny what it claims.
+        change_target(
+            tier,
+            LEAVING,
+            lie={'draining': True},
+            stall_ms=STALL_MS,
+            service_ms=SLOW_MS,
+            reset=True,
+        )
+        time.sleep(BOUND_S)
+        first = change_target(tier, LEAVING)['ran']
+        load.wait_more(300)
+        assert change_target(tier, LEAVING)['ran'] > first
