Test limits with an owner that is cut off

Cause: a killed or frozen owner sends nothing, so that neither shows whether its lease is waited for. Change: the limits are also checked while the owner is cut off from the control group and goes on with its callers until its lease ends.

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -14,14 +14,18 @@
 COLD_MS = 6000
 
 
-@pytest.mark.parametrize('fault', ['kill', 'freeze'])
+@pytest.mark.parametrize('fault', ['kill', 'freeze', 'isolate'])
 def test_limits_hold_while_owners_change(fault):
     """Guards against two owners that feed one target at the same time."""
-    with run_loaded(make_deployment()) as (tier, load):
+    with run_loaded(make_deployment(), proxied=True) as (tier, load):
         lost = 'entry-b'
-        load.entries.remove(lost)
         process = tier.instances[lost]
-        process.kill() if fault == 'kill' else process.freeze()
+        if fault == 'isolate':
+            # Cut off, it serves its own callers until its lease ends.
+            tier.isolate(lost)
+        else:
+            load.entries.remove(lost)
+            process.kill() if fault == 'kill' else process.freeze()
         wait_until(
             lambda: is_owned_by_others(tier, 'entry-a', lost),
             LIMIT_S,
@@ -30,10 +34,13 @@
         load.wait_more(200)
         if fault == 'kill':
             tier.restart(lost)
-        else:
+        elif fault == 'freeze':
             process.wake()
-            tier.wait_ready(lost)
-        load.entries.append(lost)
+        else:
+            links = tier.proxy.list_links()
+            tier.proxy.heal(*(link for link in links if link[0] != '>'))
+        tier.wait_ready(lost)
+        load.entries = list(tier.instances)
         load.wait_more(400)
         check_limits(tier)
 
