--- a/shallotgate/targets/_owned.py
+++ b/shallotgate/targets/_owned.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from shallotgate.errors import Finding, SettingsError
 from shallotgate.generated.messages import (
@@ -163,6 +163,7 @@
                 self._pools.list_wanted(view, self._parts.gate.owner),
                 self._make_pool,
             )
+            _cool_taken_out(view, self._pools.list_open())
         self._suspects.follow(view)
         for pool in closed:
             pool.close()
@@ -259,6 +260,18 @@
             _LOGGER.exception('A reply could not be handed over.')
 
 
+def _cool_taken_out(view: View, pools: Iterable[TargetPool]) -> None:
+    """Turn the targets of domains that were taken out cold.
+
+    They get no work for an unknown time, so that they start again as cold
+    ones when the domain returns.
+    """
+    for pool in pools:
+        if view.is_taken_out(pool.target.domain):
+            with pool.lock:
+                pool.core.limiter.turn_cold()
+
+
 def _read_state(pool: TargetPool) -> TargetState:
     with pool.lock:
         return pool.core.make_state()
