Keep a record of recent changes per part of the state

Cause: a state update holds every part whole, 242 bytes a target, because the leader does not know which entries changed since a version.

TierState.list_changes returns them with the state they lead to.

Conclusion: nothing uses the record yet; state updates follow.

--- a/shallotgate/state/__init__.py
+++ b/shallotgate/state/__init__.py
@@ -1,5 +1,6 @@
 """Replicated state machine: catalogue, once-only keys, owners, quarantine."""
 
-from shallotgate.state._machine import AppliedState, TierState
+from shallotgate.state._machine import AppliedState, StateChanges, TierState
+from shallotgate.state._recent import RecentChanges
 
-__all__ = ('AppliedState', 'TierState')
+__all__ = ('AppliedState', 'RecentChanges', 'StateChanges', 'TierState')
--- a/shallotgate/state/_catalogue.py
+++ b/shallotgate/state/_catalogue.py
@@ -23,6 +23,7 @@
     merge_differences,
     parse_change,
 )
+from shallotgate.state._recent import RecentChanges
 from shallotgate.state._verdicts import (
     KeptVerdict,
     VerdictContent,
@@ -55,6 +56,8 @@
 
     def __init__(self) -> None:
         self.published = Catalogue(version=0)
+        # By kind and name.
+        self.recent: RecentChanges[tuple[str, str]] = RecentChanges()
         self._history: deque[HistoryRecord] = deque(maxlen=HISTORY_LIMIT)
         self._verdicts = VerdictTable()
         self._encoded: tuple[int, bytes] = (-1, b'')
@@ -116,6 +119,7 @@
     def load(self, content: CatalogueContent) -> None:
         """Take over a snapshot."""
         self.published = content.catalogue
+        self.recent.clear(content.catalogue.version)
         self._history = deque(content.history, maxlen=HISTORY_LIMIT)
         self._verdicts.load(content.verdicts)
 
@@ -173,7 +177,12 @@
         edited: Catalogue,
         now: float,
     ) -> Verdict:
+        differences = draft.list_differences()
         self.published = edited
+        self.recent.note(
+            edited.version,
+            [(changed.kind, changed.name) for changed in differences],
+        )
         self._history.append(
             HistoryRecord(
                 version=edited.version,
@@ -181,7 +190,7 @@
                 time=datetime.fromtimestamp(now, UTC).isoformat(),
                 change_id=request.change_id,
                 reason=str(request.content.get('reason')),
-                differences=draft.list_differences(),
+                differences=differences,
             )
         )
         return Verdict(
--- a/shallotgate/state/_machine.py
+++ b/shallotgate/state/_machine.py
@@ -68,6 +68,23 @@
     quarantine: Mapping[str, Judgement]
 
 
+@dataclass(frozen=True)
+class StateChanges:
+    """Names of the entries that differ between two versions.
+
+    A part is ``None`` where the record of changes does not reach back.
+    """
+
+    # The state that the names lead to.
+    applied: AppliedState
+    # By kind and name.
+    catalogue: frozenset[tuple[str, str]] | None
+    # Targets.
+    ownership: frozenset[str] | None
+    # Digests.
+    quarantine: frozenset[str] | None
+
+
 class TierState:
     """Applies the commands of the replicated log.
 
@@ -135,6 +152,16 @@
         """Return the state after the last applied command."""
         return self._applied
 
+    def list_changes(self, known: Versions) -> StateChanges:
+        """Return the present state and what changed since known versions."""
+        with self._lock:
+            return StateChanges(
+                applied=self._applied,
+                catalogue=self._catalogue.recent.list_since(known.catalogue),
+                ownership=self._ownership.recent.list_since(known.ownership),
+                quarantine=self._quarantine.recent.list_since(known.quarantine),
+            )
+
     def encode_catalogue(self) -> tuple[Versions, bytes]:
         """Return the versions and the JSON of the catalogue at them."""
         with self._lock:
--- a/shallotgate/state/_ownership.py
+++ b/shallotgate/state/_ownership.py
@@ -11,6 +11,7 @@
     OwnerGrant,
     Ownership,
 )
+from shallotgate.state._recent import RecentChanges
 
 
 @dataclass(frozen=True)
@@ -35,6 +36,8 @@
         self.version = 0
         self._owners: dict[str, Ownership] = {}
         self.published: Mapping[str, Ownership] = MappingProxyType({})
+        # By target name.
+        self.recent: RecentChanges[str] = RecentChanges()
 
     def move(self, command: MoveOwners, now: float) -> Done:
         """Ask owners to release targets."""
@@ -73,6 +76,7 @@
     def load(self, content: OwnershipContent) -> None:
         """Take over a snapshot."""
         self.version = content.version
+        self.recent.clear(content.version)
         self._owners = {owned.target: owned for owned in content.owners}
         self.published = MappingProxyType(dict(self._owners))
 
@@ -97,10 +101,11 @@
     def _put(self, owners: Sequence[Ownership], drops: Sequence[str]) -> Done:
         if not owners and not drops:
             return Done(changed=False, reason='no current epoch')
-        for owned in owners:
-            self._owners[owned.target] = owned
+        puts = {owned.target: owned for owned in owners}
+        self._owners.update(puts)
         for target in drops:
             self._owners.pop(target, None)
         self.version += 1
+        self.recent.note(self.version, [*puts, *drops])
         self.published = MappingProxyType(dict(self._owners))
         return Done(changed=True)
--- a/shallotgate/state/_quarantine.py
+++ b/shallotgate/state/_quarantine.py
@@ -13,6 +13,7 @@
     LiftQuarantine,
     ReportSuspects,
 )
+from shallotgate.state._recent import RecentChanges
 from shallotgate.state._timed import RETENTION_S
 
 # The whole table is part of each view, at about 150 bytes a digest.
@@ -78,6 +79,10 @@
         # In order of the last change, the oldest first.
         self._suspects: dict[str, Suspect] = {}
         self.published: Mapping[str, Judgement] = MappingProxyType({})
+        # By digest.
+        self.recent: RecentChanges[str] = RecentChanges()
+        # Digests put or dropped since the last version.
+        self._touched: set[str] = set()
 
     def report(self, command: ReportSuspects, now: float) -> Done:
         """Count the loss of a target against the digests in flight on it."""
@@ -171,6 +176,7 @@
                 stale.append(suspect.digest)
         for digest in stale:
             self._suspects.pop(digest)
+            self._touched.add(digest)
         if stale:
             self._finish(changed=True)
 
@@ -181,6 +187,8 @@
     def load(self, content: QuarantineContent) -> None:
         """Take over a snapshot."""
         self.version = content.version
+        self.recent.clear(content.version)
+        self._touched.clear()
         self._suspects = {
             suspect.digest: suspect for suspect in content.suspects
         }
@@ -197,6 +205,7 @@
         if len(self._suspects) >= DIGEST_LIMIT:
             self._drop_oldest()
         self._suspects[suspect.digest] = suspect
+        self._touched.add(suspect.digest)
 
     def _drop_oldest(self) -> None:
         # min takes the first, that is the oldest, of equal rank.
@@ -205,11 +214,14 @@
             key=lambda suspect: _DROP_RANKS[suspect.status],
         )
         self._suspects.pop(oldest.digest)
+        self._touched.add(oldest.digest)
 
     def _finish(self, changed: bool, reason: str = '') -> Done:
         if not changed:
             return Done(changed=False, reason=reason)
         self.version += 1
+        self.recent.note(self.version, self._touched)
+        self._touched.clear()
         self._publish()
         return Done(changed=True)
 
