Answer FetchState with differences

Change: a StateUpdate holds, for each part, either the entries put and removed since the version that FetchState names, or the whole part where the record of changes does not reach back or the difference has as many entries. The session table keeps its list of live instances with a record of its own, cleared at each election.

Conclusion: bytes no longer depend on the number of targets; the copies left are those of ownership and of the services. Subscribers of the view still iterate over all targets at each change; they are not measured here.

--- a/shallotgate/control/_answers.py
+++ b/shallotgate/control/_answers.py
@@ -1,4 +1,4 @@
-"""Answers to heartbeats and to requests for state."""
+"""Answers to heartbeats."""
 
 import time
 
@@ -9,10 +9,8 @@
     SessionTable,
 )
 from shallotgate.generated.messages import (
-    FetchState,
     Heartbeat,
     HeartbeatReply,
-    StateUpdate,
     Versions,
 )
 from shallotgate.metrics import Metrics
@@ -84,38 +82,3 @@
             versions=versions,
             instances_version=self._sessions.version,
         )
-
-
-def make_update(
-    state: TierState,
-    sessions: SessionTable,
-    request: FetchState,
-) -> StateUpdate:
-    """Return the parts that differ from what the request names."""
-    known = request.versions
-    applied = state.read()
-    versions = applied.versions
-    catalogue = None
-    if versions.catalogue != known.catalogue:
-        # The catalogue may be newer than the other parts by now.
-        newer, catalogue = state.encode_catalogue()
-        versions = Versions(
-            catalogue=newer.catalogue,
-            ownership=versions.ownership,
-            quarantine=versions.quarantine,
-        )
-    is_owned_new = versions.ownership != known.ownership
-    is_judged_new = versions.quarantine != known.quarantine
-    instances_version, records = sessions.list_records(time.monotonic())
-    is_listed_new = instances_version != request.instances_version
-    return StateUpdate(
-        versions=versions,
-        term=0,
-        instances_version=instances_version,
-        catalogue=catalogue,
-        ownership=tuple(applied.ownership.values()) if is_owned_new else None,
-        quarantine=tuple(applied.quarantine.values())
-        if is_judged_new
-        else None,
-        instances=records if is_listed_new else None,
-    )
--- a/shallotgate/control/_service.py
+++ b/shallotgate/control/_service.py
@@ -7,12 +7,13 @@
 from typing import Any
 
 from shallotgate.codec import encode_json
-from shallotgate.control._answers import LeaseAnswers, make_update
+from shallotgate.control._answers import LeaseAnswers
 from shallotgate.control._duties import LeaderDuties
 from shallotgate.control._log import ReplicatedLog
 from shallotgate.control._operations import Operations
 from shallotgate.control._proposals import Proposer
 from shallotgate.control._sessions import SessionTable
+from shallotgate.control._updates import make_update
 from shallotgate.errors import NotLeaderError, ShallotgateError
 from shallotgate.generated.messages import (
     FetchState,
--- a/shallotgate/control/_sessions.py
+++ b/shallotgate/control/_sessions.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 
 from shallotgate.generated.messages import (
@@ -12,6 +12,7 @@
     Ownership,
     Release,
 )
+from shallotgate.state import RecentChanges
 from shallotgate.transport import Delivery
 
 LEASE_S = 4.0
@@ -121,6 +122,17 @@
         return release if first <= release.epoch <= owned.epoch else None
 
 
+@dataclass(frozen=True)
+class ListedInstances:
+    """The live instances at one version, and what led there."""
+
+    version: int
+    # By instance.
+    records: Mapping[str, InstanceRecord]
+    # Instances that changed; ``None`` where the record doesn't reach back.
+    names: frozenset[str] | None
+
+
 def _make_session(
     delivery: Delivery,
     beat: Heartbeat,
@@ -158,7 +170,9 @@
         self._lock = threading.Lock()
         self._sessions: dict[_Key, InstanceSession] = {}
         self._elected_at = float('inf')
-        self._live: tuple[_Key, ...] = ()
+        # Records of live instances at the version, by instance.
+        self._listed: dict[str, InstanceRecord] = {}
+        self._recent: RecentChanges[str] = RecentChanges()
         self._version = 0
 
     @property
@@ -173,8 +187,11 @@
         """
         with self._lock:
             self._sessions.clear()
+            self._listed.clear()
             self._elected_at = elected_at
-            self._raise_version()
+            self._raise_version(())
+            # Versions of an earlier leadership don't lead to this one.
+            self._recent.clear(self._version)
 
     def renew(self, delivery: Delivery, beat: Heartbeat, now: float) -> bool:
         """Renew a session; return whether a lease may be granted.
@@ -193,12 +210,13 @@
                 self._supersede(key[0])
             elif beat.sequence < present.sequence:
                 # Overtaken on the way; what it says is out of date.
-                self._sessions[key] = replace(present, renewed_at=now)
+                renewed = replace(present, renewed_at=now)
+                self._sessions[key] = renewed
+                self._list(renewed)
                 return True
             renewed = _make_session(delivery, beat, now)
             self._sessions[key] = renewed
-            if present is None or _publish(present) != _publish(renewed):
-                self._raise_version()
+            self._list(renewed)
         return True
 
     def freeze(self, now: float) -> SessionView:
@@ -211,28 +229,42 @@
                 sessions=dict(self._sessions),
             )
             self._drop_ended(view)
-            live = tuple(
-                key
-                for key, session in view.sessions.items()
-                if session.is_live(now)
-            )
-            if live != self._live:
-                self._live = live
-                self._raise_version()
+            self._drop_unlisted(now)
         return view
 
-    def list_records(self, now: float) -> tuple[int, list[InstanceRecord]]:
-        """Return the version and the records of live instances.
+    def list_changes(self, known: int, now: float) -> ListedInstances:
+        """Return the live instances and what changed since a version.
 
         Versions in force are left out: they change without a new version.
         """
         with self._lock:
-            return self._version, list(self._iterate_records(now))
+            self._drop_unlisted(now)
+            return ListedInstances(
+                version=self._version,
+                records=dict(self._listed),
+                names=self._recent.list_since(known),
+            )
 
-    def _iterate_records(self, now: float) -> Iterator[InstanceRecord]:
-        for session in self._sessions.values():
-            if session.is_live(now):
-                yield _publish(session)
+    def _list(self, session: InstanceSession) -> None:
+        record = _publish(session)
+        if self._listed.get(record.instance) != record:
+            self._listed[record.instance] = record
+            self._raise_version((record.instance,))
+
+    def _drop_unlisted(self, now: float) -> None:
+        ended = [
+            name
+            for name, record in self._listed.items()
+            if not self._is_live((name, record.start_id), now)
+        ]
+        for name in ended:
+            self._listed.pop(name)
+        if ended:
+            self._raise_version(ended)
+
+    def _is_live(self, key: _Key, now: float) -> bool:
+        session = self._sessions.get(key)
+        return session is not None and session.is_live(now)
 
     def _has_heir(self, instance: str, now: float) -> bool:
         return any(
@@ -254,6 +286,7 @@
             if not is_refused and not view.may_hold(session.owner):
                 self._sessions.pop(key)
 
-    def _raise_version(self) -> None:
+    def _raise_version(self, names: Collection[str]) -> None:
         # Wall-clock time keeps versions of different leaders apart.
         self._version = max(self._version + 1, int(time.time() * _US_PER_S))
+        self._recent.note(self._version, names)
--- a/shallotgate/errors/__init__.py
+++ b/shallotgate/errors/__init__.py
@@ -1,6 +1,7 @@
 """Exception tree under ``ShallotgateError`` and findings with their place."""
 
 from shallotgate.errors._tree import (
+    BaseMismatchError,
     CallTimeoutError,
     CommitUnknownError,
     ConsensusError,
@@ -24,6 +25,7 @@
 )
 
 __all__ = (
+    'BaseMismatchError',
     'CallTimeoutError',
     'CommitUnknownError',
     'ConsensusError',
--- a/shallotgate/errors/_tree.py
+++ b/shallotgate/errors/_tree.py
@@ -109,5 +109,9 @@
     """The target answered something that is not a valid reply."""
 
 
+class BaseMismatchError(ShallotgateError):
+    """A difference begins at another version than the one in force."""
+
+
 class InvariantError(ShallotgateError):
     """An invariant of the program does not hold."""
--- a/shallotgate/membership/__init__.py
+++ b/shallotgate/membership/__init__.py
@@ -9,6 +9,7 @@
 from shallotgate.membership._lease import LeaseHolder
 from shallotgate.membership._link import ControlLink, DirectLink
 from shallotgate.membership._session import Readiness, Session
+from shallotgate.membership._updates import update_view
 from shallotgate.membership._view import (
     EMPTY_VIEW,
     Lease,
@@ -34,4 +35,5 @@
     'TierView',
     'View',
     'list_places',
+    'update_view',
 )
--- a/shallotgate/membership/_applier.py
+++ b/shallotgate/membership/_applier.py
@@ -1,22 +1,32 @@
 """Putting newer state into force."""
 
 import threading
+from collections.abc import Sequence
 
+from shallotgate.errors import BaseMismatchError
 from shallotgate.generated.messages import (
     FetchState,
     HeartbeatReply,
+    InstanceRecord,
     Owner,
     StateUpdate,
 )
+from shallotgate.logs import get_logger
 from shallotgate.membership._link import ControlLink
 from shallotgate.membership._releases import ReleaseList, list_unopened
 from shallotgate.membership._updates import covers, update_view
 from shallotgate.membership._view import TierView
 from shallotgate.transport import Mailbox
 
+_LOGGER = get_logger('membership')
 _FETCH_S = 2.0
 
 
+def _list_put(update: StateUpdate) -> Sequence[InstanceRecord]:
+    difference = update.instances_difference
+    return update.instances or () if difference is None else difference.put
+
+
 class StateApplier:
     """Fetches newer state and puts it into force."""
 
@@ -46,20 +56,28 @@
             is_known = reply.instances_version == self._instances_version
             if is_known and self.covers(reply):
                 return
-            message = FetchState(
-                versions=self._view.current().versions,
-                instances_version=self._instances_version,
-            )
-            update = self._link.call(peer, message, _FETCH_S)
-            if isinstance(update, StateUpdate):
-                self._apply(update)
+            try:
+                self._fetch(peer, whole=False)
+            except BaseMismatchError as error:
+                _LOGGER.warning('State is fetched whole: %s.', error)
+                self._fetch(peer, whole=True)
+
+    def _fetch(self, peer: str, *, whole: bool) -> None:
+        message = FetchState(
+            versions=self._view.current().versions,
+            instances_version=self._instances_version,
+            whole=whole,
+        )
+        update = self._link.call(peer, message, _FETCH_S)
+        if isinstance(update, StateUpdate):
+            self._apply(update)
 
     def _apply(self, update: StateUpdate) -> None:
-        for record in update.instances or ():
+        before = self._view.current()
+        after = update_view(before, update, self._instances_version)
+        for record in _list_put(update):
             if record.instance != self._mailbox.instance:
                 self._mailbox.learn(record.instance, record.address)
-        before = self._view.current()
-        after = update_view(before, update)
         # Subscribers of the view have acted on it when this returns, so that
         # the lease counts only with the new versions in force.
         self._view.replace(after)
--- a/shallotgate/membership/_updates.py
+++ b/shallotgate/membership/_updates.py
@@ -1,15 +1,20 @@
 """Making a new view from a state update."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from types import MappingProxyType
 from typing import Any
 
 from shallotgate.codec import decode_json
+from shallotgate.errors import BaseMismatchError
 from shallotgate.generated.catalogue import Catalogue
 from shallotgate.generated.messages import StateUpdate, Versions
+from shallotgate.membership._chunks import ChunkedMapping
+from shallotgate.membership._differences import edit_catalogue, edit_mapping
 from shallotgate.membership._view import View, list_places
 
+_Maker = Callable[[View, StateUpdate], dict[str, Any]]
+
 
 def covers(present: Versions, named: Versions | None) -> bool:
     """Return whether all parts are at the named versions or newer.
@@ -28,31 +33,122 @@
     )
 
 
-def update_view(view: View, update: StateUpdate) -> View:
+def update_view(
+    view: View,
+    update: StateUpdate,
+    instances_version: int = 0,
+) -> View:
     """Return the view with the newer parts of an update.
 
     A part older than the present one is left out, because versions never go
-    back. Raises ``CodecError`` if the catalogue can't be decoded.
+    back. Raises ``CodecError`` if the catalogue can't be decoded, and
+    ``BaseMismatchError`` if a newer part is a difference that begins at
+    another version than the view has; no part is taken over then.
+
+    Args:
+        view: The present view.
+        update: What the leader answered.
+        instances_version: Version of the session table in the view.
     """
     present = view.versions
     named = update.versions
-    parts: dict[str, Any] = {}
     versions: dict[str, int] = {}
-    if update.catalogue is not None and named.catalogue > present.catalogue:
-        catalogue = decode_json(update.catalogue, Catalogue)
-        parts.update(catalogue=catalogue, places=list_places(catalogue))
-        versions['catalogue'] = named.catalogue
-    if update.ownership is not None and named.ownership > present.ownership:
-        parts['ownership'] = _index(update.ownership, 'target')
-        versions['ownership'] = named.ownership
-    if update.quarantine is not None and named.quarantine > present.quarantine:
-        parts['quarantine'] = _index(update.quarantine, 'digest')
-        versions['quarantine'] = named.quarantine
-    if update.instances is not None:
-        parts['instances'] = _index(update.instances, 'instance')
+    parts: dict[str, Any] = {}
+    for part, make in _MAKERS.items():
+        version = getattr(named, part)
+        if version <= getattr(present, part):
+            continue
+        if getattr(update, f'{part}_difference') is not None:
+            base = getattr(update.base, part, None)
+            _check_base(part, base, getattr(present, part))
+        elif getattr(update, part) is None:
+            continue
+        parts.update(make(view, update))
+        versions[part] = version
+    if update.instances_difference is not None:
+        base = update.base_instances_version
+        _check_base('instances', base, instances_version)
+    parts.update(_make_instances(view, update))
     return replace(view, versions=replace(present, **versions), **parts)
 
 
+def _check_base(part: str, base: int | None, present: int) -> None:
+    if base != present:
+        raise BaseMismatchError(
+            f'the difference of {part} begins at {base}, not {present}'
+        )
+
+
+def _make_catalogue(view: View, update: StateUpdate) -> dict[str, Any]:
+    difference = update.catalogue_difference
+    if difference is not None:
+        catalogue, places = edit_catalogue(
+            view.catalogue,
+            view.places,
+            difference,
+            update.versions.catalogue,
+        )
+        return {'catalogue': catalogue, 'places': places}
+    catalogue = decode_json(update.catalogue or b'', Catalogue)
+    places = ChunkedMapping(list_places(catalogue))
+    return {'catalogue': catalogue, 'places': places}
+
+
+def _make_ownership(view: View, update: StateUpdate) -> dict[str, Any]:
+    return {
+        'ownership': _edit(
+            view.ownership,
+            update.ownership,
+            update.ownership_difference,
+            'target',
+        ),
+    }
+
+
+def _make_quarantine(view: View, update: StateUpdate) -> dict[str, Any]:
+    return {
+        'quarantine': _edit(
+            view.quarantine,
+            update.quarantine,
+            update.quarantine_difference,
+            'digest',
+        ),
+    }
+
+
+def _make_instances(view: View, update: StateUpdate) -> dict[str, Any]:
+    return {
+        'instances': _edit(
+            view.instances,
+            update.instances,
+            update.instances_difference,
+            'instance',
+        ),
+    }
+
+
+_MAKERS: Mapping[str, _Maker] = MappingProxyType(
+    {
+        'catalogue': _make_catalogue,
+        'ownership': _make_ownership,
+        'quarantine': _make_quarantine,
+    }
+)
+
+
+def _edit(
+    present: Mapping[str, Any],
+    whole: Sequence[object] | None,
+    difference: Any,
+    field: str,
+) -> Mapping[str, Any]:
+    """Return a part with its difference, or whole, or as it was."""
+    if difference is not None:
+        put = _index(difference.put, field)
+        return edit_mapping(present, put, difference.removed)
+    return present if whole is None else _index(whole, field)
+
+
 def _index(records: Sequence[object], field: str) -> Mapping[str, Any]:
     return MappingProxyType(
         {getattr(record, field): record for record in records}
--- a/shallotgate/membership/tests/test_session.py
+++ b/shallotgate/membership/tests/test_session.py
@@ -4,16 +4,22 @@
 
 import pytest
 
-from shallotgate.errors import CallTimeoutError
+from shallotgate.errors import BaseMismatchError, CallTimeoutError
 from shallotgate.generated.messages import (
+    CatalogueDifference,
     FetchState,
+    HeartbeatReply,
+    InstanceRecord,
+    InstancesDifference,
     Owner,
     Ownership,
     Release,
+    StateUpdate,
     Versions,
 )
 from shallotgate.generated.settings import Member, Settings
 from shallotgate.membership import EMPTY_VIEW, Session, TierView
+from shallotgate.membership._applier import StateApplier
 from shallotgate.membership._releases import ReleaseList, list_unopened
 from shallotgate.membership._updates import update_view
 from shallotgate.membership.tests.fakes import (
@@ -216,3 +222,64 @@
     released = list(list_unopened(before, after, owner))
     expected = [Release(target='t', epoch=after['t'].epoch)]
     assert released == (expected if is_released else [])
+
+
+def make_difference(base, version, address='127.0.0.1:1'):
+    record = InstanceRecord(
+        instance='e2',
+        start_id='s2',
+        domain='a',
+        address=address,
+        roles=['entry'],
+        readiness='ready',
+    )
+    return StateUpdate(
+        versions=Versions(catalogue=version, ownership=1),
+        term=1,
+        base=Versions(catalogue=base),
+        catalogue_difference=CatalogueDifference(
+            put=b'{"version": %d}' % version, removed=[]
+        ),
+        ownership=[
+            Ownership(
+                target='t', instance='e', start_id='s', epoch=1, state='held'
+            )
+        ],
+        instances_difference=InstancesDifference(put=[record], removed=[]),
+    )
+
+
+@pytest.mark.parametrize('base', [0, 1, 3])
+def test_difference_from_another_base_changes_nothing(base):
+    """Guards against parts of different versions that are mixed up."""
+    view = update_view(EMPTY_VIEW, make_update(2))
+    with pytest.raises(BaseMismatchError):
+        update_view(view, make_difference(base, 4))
+    assert update_view(view, make_difference(2, 4)).versions.catalogue == 4
+    with pytest.raises(BaseMismatchError):
+        update_view(view, make_difference(2, 4), instances_version=7)
+
+
+def test_older_difference_is_left_out():
+    """Guards against a version that goes back."""
+    view = update_view(EMPTY_VIEW, make_update(5))
+    after = update_view(view, make_difference(3, 4))
+    assert after.versions == Versions(catalogue=5, ownership=1)
+    assert after.catalogue == view.catalogue
+
+
+def test_state_is_fetched_whole_where_the_base_differs():
+    """Guards against an instance that stays behind after a misfit."""
+
+    def answer(peer, message, timeout_s):
+        return make_update(4) if message.whole else make_difference(3, 4)
+
+    link = ScriptedLink(answer)
+    tier_view = TierView()
+    applier = StateApplier(link, NO_MAILBOX, tier_view, ReleaseList())
+    reply = HeartbeatReply(
+        sequence=1, granted=True, versions=Versions(catalogue=4)
+    )
+    applier.fetch('m1', reply)
+    assert [message.whole for _, message in link.asked] == [False, True]
+    assert tier_view.current().versions.catalogue == 4
