Measure difference updates in the slopes

Cause: the slopes held only whole updates, and their time to apply with tracing of memory on, which is not the time of a running instance.

Change: bytes and CPU time of a difference update for one changed service and for 39 moved ownerships; CPU time of a whole update without tracing.

The untraced figure of the whole update varies with the load of the machine.

--- a/testkit/slopes/_measure.py
+++ b/testkit/slopes/_measure.py
@@ -16,8 +16,7 @@
     StateUpdate,
     Versions,
 )
-from shallotgate.membership import EMPTY_VIEW, list_places
-from shallotgate.membership._updates import update_view
+from shallotgate.membership import EMPTY_VIEW, list_places, update_view
 from shallotgate.transport._envelope import decode_envelope, encode_envelope
 from testkit.slopes._content import (
     StateBuilder,
@@ -25,6 +24,7 @@
     make_service_edit,
     make_target_state,
 )
+from testkit.slopes._differences import measure_differences
 from testkit.slopes._fit import fit_line
 
 SIZES = (1500, 3000, 6000, 12000)
@@ -41,6 +41,7 @@
         'messages': measure_messages(),
         'state': measure_state(sizes),
         'view': measure_view(sizes),
+        'differences': measure_differences(sizes),
         'assignment': measure_assignment(sizes),
         'report': measure_report(),
         'instances': measure_instances(),
@@ -127,8 +128,10 @@
     """Return slopes of an instance's view per target."""
     updates = [_make_full_update(size) for size in sizes]
     costs = [_measure_update(update) for update in updates]
+    spent_ms = [_measure_apply(update) for update in updates]
     return {
         'update_bytes': fit_line(sizes, [len(update) for update in updates]),
+        'apply_ms': fit_line(sizes, spent_ms),
         'apply_ms_traced': fit_line(sizes, [cost[0] for cost in costs]),
         'memory_bytes': fit_line(sizes, [cost[1] for cost in costs]),
     }
@@ -216,6 +219,13 @@
     return spent_ms, memory_bytes
 
 
+def _measure_apply(encoded: bytes) -> float:
+    """Return the CPU time in ms to apply an update without tracing."""
+    start = time.process_time()
+    update_view(EMPTY_VIEW, decode_envelope(encoded)[1])
+    return (time.process_time() - start) * _MS_PER_S
+
+
 def _measure_message(message: object) -> dict[str, float]:
     encoded = encode_envelope('entry-00001', '0123456789abcdef', message)
     encode_s = _time(lambda: encode_envelope('entry-1', 'start', message))
