Keep content that a crashing domain was running out of quarantine

Each target lost with a digest in flight counted as a loss of its own, so that the crash of a failure domain quarantined what ran on two of its targets. Attempts now tell whether their content is proven, and reports name the failure domain and the proven digests. Losses of proven content count as one together, and as none next to a counted unproven loss in the same domain; once its trial clears it, they are forgiven. Hedges and retries after a loss are reported as unproven, since content may crash only some partitions. Screening reaches one target of a domain, and trials avoid domains that lost a target, where there are others.

An entry also went on denying content after its quarantine was lifted, because its own note of two lost targets outlived the verdict.

The determinism test generates the two new fields of ReportSuspects.

--- a/shallotgate/query/_driver.py
+++ b/shallotgate/query/_driver.py
@@ -130,12 +130,16 @@
         self._schedule(shard.retry_at, shard)
 
     def _send(self, shard: Shard, candidate: Candidate, now: float) -> None:
+        # Content may crash only some partitions: the second target that it
+        # reaches in a partition is held against it if both are lost.
+        is_first = not shard.losses and not shard.active
         sent = self.exchange.send(
             shard,
             candidate,
             self.index_version,
             screening=self.pick.screening,
             trial=self.pick.trial,
+            proven=is_first and not self.pick.screening,
         )
         if sent is None or len(shard.active) >= _MAX_ACTIVE:
             return
--- a/shallotgate/query/_exchange.py
+++ b/shallotgate/query/_exchange.py
@@ -66,8 +66,8 @@
         self._numbers = itertools.count(1)
         self._active: dict[str, Sent] = {}
         self.usage = Usage()
-        # Targets that may have run an attempt of this query.
-        self.exposed: set[str] = set()
+        # Domains of the targets that may have run an attempt of this query.
+        self.exposed: dict[str, str] = {}
 
     def send(
         self,
@@ -77,6 +77,7 @@
         *,
         screening: bool = False,
         trial: str = '',
+        proven: bool = False,
     ) -> Sent | None:
         """Send an attempt; None if there is no time left for it."""
         now = time.monotonic()
@@ -90,6 +91,7 @@
             min(time_left_ms, self._parts.max_attempt_ms),
             screening=screening,
             trial=trial,
+            proven=proven,
         )
         sent = Sent(attempt, candidate, shard, now)
         self._active[attempt.attempt_id] = sent
@@ -98,7 +100,7 @@
         shard.reason = ''
         self.usage.sent += 1
         self.usage.may_have_run += 1
-        self.exposed.add(candidate.target)
+        self.exposed[candidate.target] = candidate.domain
         self._parts.port.submit(candidate.owner, attempt, self._sink)
         return sent
 
@@ -135,7 +137,7 @@
     def _account(self, sent: Sent, reply: AttemptReply) -> None:
         if reply.status in NOT_RUN:
             self.usage.may_have_run -= 1
-            self.exposed.discard(sent.candidate.target)
+            self.exposed.pop(sent.candidate.target, None)
         elif reply.status == 'failed':
             self.usage.failed += 1
         elif is_target_lost(reply):
@@ -151,6 +153,7 @@
         *,
         screening: bool,
         trial: str,
+        proven: bool,
     ) -> Attempt:
         task = self._task
         check(
@@ -175,4 +178,5 @@
             once_only=task.policy.once_only,
             screening=screening,
             trial=trial,
+            proven=proven,
         )
--- a/shallotgate/query/_pick.py
+++ b/shallotgate/query/_pick.py
@@ -57,14 +57,26 @@
 
 
 class ScreeningPick:
-    """In the order of rendezvous hashing, at most two targets in all."""
+    """In the order of rendezvous hashing, at most two targets in all.
+
+    The two are in different failure domains where the candidates are: if
+    both are lost, the content is quarantined, and the crash of one domain
+    must not cause that.
+    """
 
     screening = True
     trial = ''
 
-    def __init__(self, digest: str, exchange: Exchange) -> None:
+    def __init__(
+        self,
+        digest: str,
+        exchange: Exchange,
+        lost_domains: Collection[str] = (),
+    ) -> None:
         self._digest = digest
         self._exchange = exchange
+        # Domains of lost targets on which it may have been in flight.
+        self._lost_domains = frozenset(lost_domains)
 
     def pick(
         self,
@@ -78,7 +90,7 @@
             return None
         allowed = {
             one.target: one
-            for one in candidates
+            for one in self._prefer_other_domains(candidates)
             if one.target not in excluded
             and not (warm_only and one.observation.is_cold())
         }
@@ -89,6 +101,14 @@
         """Return whether two targets may have run the content."""
         return len(self._exchange.exposed) >= _MAX_EXPOSED
 
+    def _prefer_other_domains(
+        self,
+        candidates: Sequence[Candidate],
+    ) -> Sequence[Candidate]:
+        reached = {*self._lost_domains, *self._exchange.exposed.values()}
+        others = [one for one in candidates if one.domain not in reached]
+        return others or candidates
+
 
 class TrialPick:
     """The one target of a granted trial."""
--- a/shallotgate/query/tests/test_screening.py
+++ b/shallotgate/query/tests/test_screening.py
@@ -3,6 +3,8 @@
 
 import pytest
 
+from shallotgate.generated.answers import QueryRequest
+from shallotgate.query import encode_content
 from shallotgate.query.tests.tier import (
     Delayed,
     Tier,
@@ -185,3 +187,76 @@
     answer = tier.ask(class_name='coverage', deadline_ms=300)
     assert answer.outcome == 'failed'
     assert len(tier.port.sent) == 2
+
+
+def test_trial_of_proven_content_runs_where_it_can_fail():
+    """Guards against content condemned by the rest of a crashing domain,
+    and against content cleared on a partition that it does not crash."""
+    tier = Tier()
+    lost = ['s1-x', 's2-x']
+    request = QueryRequest(
+        group='trace', class_name='coverage', query={'seed': 1}
+    )
+    digest = encode_content(request)[0]
+    tier.control.suspect(digest, lost[0])
+    judgement = dataclasses.replace(
+        tier.control.judgements[digest], targets=lost, proven=True
+    )
+    tier.control.judgements[digest] = judgement
+    tier.view.replace(
+        dataclasses.replace(tier.view.current(), quarantine={digest: judgement})
+    )
+    answer = tier.ask(class_name='coverage', query={'seed': 1})
+    assert answer.outcome == 'complete'
+    trial = tier.port.sent[0]
+    assert trial.trial
+    assert trial.service in {'s1', 's2'}
+    assert not trial.target.endswith('-x')
+
+
+def test_screening_reaches_one_target_of_a_domain():
+    """Guards against new content that one domain's crash makes lose two
+    targets, which quarantines it."""
+    tier = Tier()
+    for name in tier.places:
+        tier.port.behaviours[name] = reply_with('failed', 'broken')
+    for number in range(10):
+        tier.ask(class_name='coverage', query={'n': number}, deadline_ms=300)
+    targets = [one.target for one in tier.port.sent]
+    assert len(targets) == 20
+    for first, second in zip(targets[::2], targets[1::2], strict=True):
+        assert first[-1] != second[-1]
+
+
+@pytest.mark.parametrize('crashes', [False, True])
+def test_only_the_first_attempt_of_a_partition_is_proven(crashes):
+    """Guards against a third target lost to content that crashes only some
+    partitions, and against innocent content held for a crasher."""
+    for number in range(8):
+        tier = Tier()
+        if crashes:
+            tier.port.behaviours = {
+                name: reply_with('lost', 'target_lost')
+                for name in tier.places
+                if name.startswith('s1')
+            }
+        tier.ask(class_name='coverage', query={'n': number}, deadline_ms=300)
+        first, *others = tier.port.sent
+        assert not first.proven
+        # Screening on s1 itself ends with the first loss.
+        if first.service != 's1':
+            proven = [one.proven for one in others if one.service == 's1']
+            assert proven == ([True, False] if crashes else [True])
+
+
+def test_lifted_content_runs_on_the_entry_that_lost_targets():
+    """Guards against an entry that goes on denying what was lifted."""
+    tier = Tier()
+    lost = make_deadly(tier)
+    assert tier.ask(**DEADLY).reason == 'quarantined'
+    digest = next(iter(tier.control.judgements))
+    tier.control._judge(digest, 'cleared', lost)
+    tier.port.behaviours.clear()
+    for target in lost:
+        tier.report(target, lost=False)
+    assert tier.ask(**DEADLY).outcome == 'complete'
--- a/shallotgate/routing/_chooser.py
+++ b/shallotgate/routing/_chooser.py
@@ -34,6 +34,8 @@
     # Whether it is in this entry's failure domain.
     near: bool
     observation: TargetObservation
+    # Failure domain of the target.
+    domain: str = ''
 
 
 @dataclass(frozen=True)
@@ -255,6 +257,7 @@
             epoch=ownership.epoch if ownership else 0,
             near=target.domain == self._domain,
             observation=observation,
+            domain=target.domain,
         )
 
 
--- a/shallotgate/state/_quarantine.py
+++ b/shallotgate/state/_quarantine.py
@@ -19,6 +19,11 @@
 DIGEST_LIMIT = 4096
 # One request may cost the tier no more than this many targets.
 _LOSS_LIMIT = 2
+# Forgiven losses that are kept; the repeat of an older one counts as new and
+# makes the digest a suspect once more.
+_FORGIVEN_LIMIT = 64
+# Losses of proven content that are kept; no further one changes the verdict.
+_PROVEN_LOSS_LIMIT = 16
 # Where the table is full, what protects targets most is dropped last.
 _DROP_RANKS: Mapping[str, int] = MappingProxyType(
     {'cleared': 0, 'suspect': 1, 'trial': 2, 'quarantined': 3}
@@ -32,6 +37,10 @@
     target: str
     # Start of the target; the same target may be lost again after a restart.
     start_id: str
+    # Whether the content had completed on some target before.
+    proven: bool = False
+    # Failure domain of the target.
+    domain: str = ''
 
 
 @dataclass(frozen=True)
@@ -44,11 +53,12 @@
     losses: Sequence[Loss]
     # Seconds since 1970 of the last change.
     since: float
-    # Id of the trial, in progress or ended; never more than one.
+    # Id of the trial, in progress or ended. Unproven content has one ever,
+    # proven content one after each time that it was cleared.
     holder: str = ''
     # Target of the trial.
     trial_target: str = ''
-    # Losses before an operator lifted it; their repeats don't count again.
+    # Losses before it was lifted or cleared; repeats don't count again.
     forgiven: Sequence[Loss] = ()
 
 
@@ -61,12 +71,80 @@
 
 
 def _make_judgement(suspect: Suspect) -> Judgement:
+    losses = suspect.losses
+    if suspect.status == 'cleared':
+        # Owners keep their own note of a loss until they see it here.
+        losses = (*suspect.forgiven, *losses)
     return Judgement(
         digest=suspect.digest,
         status=suspect.status,
-        targets=tuple(loss.target for loss in suspect.losses),
+        targets=tuple(dict.fromkeys(loss.target for loss in losses)),
         since=suspect.since,
         holder=suspect.holder,
+        proven=any(loss.proven for loss in suspect.losses),
+    )
+
+
+def _count_losses(losses: Sequence[Loss]) -> int:
+    """Return how many targets the digest is held to have cost.
+
+    A domain that crashes takes all targets on which proven content is in
+    flight, so its losses count as one in all, and as none if an entry that
+    had yet to prove the content lost a target in the same domain.
+
+    >>> first = Loss('t1', 's', proven=True, domain='a')
+    >>> second = Loss('t2', 's', proven=True, domain='a')
+    >>> _count_losses([first, second])
+    1
+    >>> _count_losses([first, second, Loss('t3', 's', domain='a')])
+    1
+    >>> _count_losses([first, second, Loss('t4', 's', domain='b')])
+    2
+    """
+    unproven = [loss for loss in losses if not loss.proven]
+    domains = {loss.domain for loss in unproven}
+    is_proven_elsewhere = any(
+        loss.proven and loss.domain not in domains for loss in losses
+    )
+    return len(unproven) + is_proven_elsewhere
+
+
+def _add_loss(suspect: Suspect, loss: Loss, now: float) -> Suspect:
+    losses = (*suspect.losses, loss)
+    if _count_losses(losses) >= _LOSS_LIMIT:
+        return replace(suspect, status='quarantined', losses=losses, since=now)
+    if suspect.status == 'trial':
+        return replace(suspect, losses=losses, since=now)
+    # Cleared content that is lost again may have another trial.
+    holder = '' if suspect.status == 'cleared' else suspect.holder
+    return replace(
+        suspect,
+        status='suspect',
+        losses=losses,
+        since=now,
+        holder=holder,
+    )
+
+
+def _forgive(suspect: Suspect, losses: Sequence[Loss]) -> tuple[Loss, ...]:
+    return (*suspect.forgiven, *losses)[-_FORGIVEN_LIMIT:]
+
+
+def _clear(suspect: Suspect, now: float) -> Suspect:
+    """End a trial that succeeded.
+
+    Losses of proven content no longer count, as each may be chance. The loss
+    of unproven content still does, so that a crash that does not show in
+    each run costs no third target.
+    """
+    if not any(loss.proven for loss in suspect.losses):
+        return replace(suspect, status='cleared', since=now)
+    return replace(
+        suspect,
+        status='cleared',
+        losses=(),
+        since=now,
+        forgiven=_forgive(suspect, suspect.losses),
     )
 
 
@@ -81,22 +159,21 @@
 
     def report(self, command: ReportSuspects, now: float) -> Done:
         """Count the loss of a target against the digests in flight on it."""
-        loss = Loss(command.target, command.target_start_id)
+        proven = set(command.proven)
         changed = False
         for digest in command.digests:
+            loss = Loss(
+                command.target,
+                command.target_start_id,
+                digest in proven,
+                command.domain,
+            )
             suspect = self._suspects.get(digest)
             if suspect is None:
                 self._put(Suspect(digest, 'suspect', (loss,), now))
                 changed = True
             elif self._is_counted(suspect, loss):
-                losses = (*suspect.losses, loss)
-                is_last = len(losses) >= _LOSS_LIMIT
-                status: Literal['quarantined', 'suspect'] = (
-                    'quarantined' if is_last else 'suspect'
-                )
-                self._put(
-                    replace(suspect, status=status, losses=losses, since=now)
-                )
+                self._put(_add_loss(suspect, loss, now))
                 changed = True
         return self._finish(changed, 'known already')
 
@@ -139,7 +216,7 @@
                 since=now,
             )
         else:
-            judged = replace(suspect, status='cleared', since=now)
+            judged = _clear(suspect, now)
         self._put(judged)
         return self._finish(changed=True)
 
@@ -156,7 +233,7 @@
                 status='cleared',
                 losses=(),
                 since=now,
-                forgiven=(*suspect.forgiven, *suspect.losses),
+                forgiven=_forgive(suspect, suspect.losses),
             )
         )
         return self._finish(changed=True)
@@ -189,7 +266,14 @@
     def _is_counted(self, suspect: Suspect, loss: Loss) -> bool:
         if suspect.status == 'quarantined':
             return False
-        return loss not in suspect.losses and loss not in suspect.forgiven
+        known = (*suspect.losses, *suspect.forgiven)
+        if any(
+            (one.target, one.start_id) == (loss.target, loss.start_id)
+            for one in known
+        ):
+            return False
+        proven = sum(1 for one in suspect.losses if one.proven)
+        return not loss.proven or proven < _PROVEN_LOSS_LIMIT
 
     def _put(self, suspect: Suspect) -> None:
         # Taking it out first moves it to the end of the order.
--- a/shallotgate/state/tests/test_determinism.py
+++ b/shallotgate/state/tests/test_determinism.py
@@ -24,6 +24,7 @@
     'caller': st.just('tellers'),
     'claim': NAMES,
     'digest': NAMES,
+    'domain': st.sampled_from(['', 'a', 'b']),
     'epoch': st.integers(0, 4),
     'holder': NAMES,
     'instance': st.sampled_from(['', 'e1', 'e2']),
@@ -49,6 +50,7 @@
 FIELDS['moves'] = st.lists(build('OwnerMove'), max_size=3)
 FIELDS['grants'] = st.lists(build('OwnerGrant'), max_size=3)
 FIELDS['digests'] = st.lists(NAMES, max_size=3)
+FIELDS['proven'] = st.lists(NAMES, max_size=3)
 EDITS = st.lists(
     st.builds(domain, NAMES, owner=st.sampled_from(['ada', 'bob']))
     | st.builds(remove, st.just('domains'), NAMES),
--- a/shallotgate/targets/_link.py
+++ b/shallotgate/targets/_link.py
@@ -4,7 +4,7 @@
 import time
 
 from shallotgate.errors import TargetError
-from shallotgate.generated.messages import Learnt
+from shallotgate.generated.messages import Attempt, Learnt
 from shallotgate.logs import get_logger
 from shallotgate.targets._core import TargetCore
 from shallotgate.targets._edge import (
@@ -42,9 +42,9 @@
         self._suspects = suspects
         self._learnt = learnt
         self._connect_lock = threading.Lock()
-        # Time and digest of attempts whose connection broke while the
-        # target seemed to live on.
-        self._broken: list[tuple[float, str]] = []
+        # Time of attempts whose connection broke while the target seemed to
+        # live on, and the attempts.
+        self._broken: list[tuple[float, Attempt]] = []
 
     def connect(self) -> TargetConnection | None:
         """Open a connection; None if the target can't be reached."""
@@ -82,19 +82,19 @@
         with self._connect_lock:
             lost = self._core.is_lost or not self._reach(work, broke_at)
         with self._ready:
-            digests = [
-                other.attempt.digest
+            attempts = [
+                other.attempt
                 for other in self._core.running
                 if other.start_id == work.start_id and not other.attempt.trial
             ]
         if lost:
             self._suspects.report(
-                self._core.target.name,
+                self._core.target,
                 work.start_id,
-                digests,
+                attempts,
             )
         elif not work.attempt.trial:
-            self._broken.append((broke_at, work.attempt.digest))
+            self._broken.append((broke_at, work.attempt))
         return lost
 
     def judge(self, trial: Work, lost: bool) -> None:
@@ -158,7 +158,7 @@
 
     def _report_broken(self, start_id: str) -> None:
         since = time.monotonic() - _BROKEN_MEMORY_S
-        digests = [digest for at, digest in self._broken if at > since]
+        attempts = [attempt for at, attempt in self._broken if at > since]
         self._broken.clear()
-        if digests:
-            self._suspects.report(self._core.target.name, start_id, digests)
+        if attempts:
+            self._suspects.report(self._core.target, start_id, attempts)
--- a/shallotgate/targets/_suspects.py
+++ b/shallotgate/targets/_suspects.py
@@ -4,10 +4,11 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from shallotgate.errors import ShallotgateError
+from shallotgate.generated.catalogue import Target
 from shallotgate.generated.messages import Attempt, JudgeTrial, ReportSuspects
 from shallotgate.logs import get_logger
 from shallotgate.membership import CommandPort, View
@@ -70,31 +71,40 @@
 
     def report(
         self,
-        target: str,
+        target: Target,
         start_id: str,
-        digests: Iterable[str],
+        attempts: Sequence[Attempt],
     ) -> None:
-        """Make digests suspects at once and commit a report of them."""
+        """Make digests suspects at once and commit a report of them.
+
+        ``attempts`` are those in flight when the target was lost.
+        """
         expires = time.monotonic() + _GIVE_UP_S
+        digests = {attempt.digest for attempt in attempts}
+        unproven = {
+            attempt.digest for attempt in attempts if not attempt.proven
+        }
         with self._lock:
             fresh = sorted(
                 digest
-                for digest in set(digests)
+                for digest in digests
                 if digest not in self._notes
-                or self._notes[digest].target != target
+                or self._notes[digest].target != target.name
             )
             for digest in fresh:
-                self._notes[digest] = _Note(target, expires)
+                self._notes[digest] = _Note(target.name, expires)
         if fresh:
             _LOGGER.warning(
                 'Target lost with attempts in flight.',
-                extra={'target': target, 'digests': fresh},
+                extra={'target': target.name, 'digests': fresh},
             )
             self._pending.put(
                 ReportSuspects(
-                    target=target,
+                    target=target.name,
                     target_start_id=start_id,
                     digests=fresh,
+                    proven=[one for one in fresh if one not in unproven],
+                    domain=target.domain,
                     time=0,
                 ),
             )
--- a/shallotgate/targets/tests/test_owned.py
+++ b/shallotgate/targets/tests/test_owned.py
@@ -293,6 +293,22 @@
     assert rig.run(digest='innocent').status == 'ok'
 
 
+def test_report_tells_proven_content_and_the_domain(make_rig):
+    """Guards against a domain's crash that is counted against content that
+    has completed elsewhere, and against unproven content taken for proven."""
+    rig = make_rig(cold_start=False)
+    rig.edge.hold.clear()
+    for digest, proven in (('new', False), ('old', True), ('new', True)):
+        rig.submit(digest=digest, proven=proven)
+    wait_until(lambda: len(rig.edge.running) == 3, 'the attempts')
+    rig.edge.crash()
+    command = rig.commands.taken.get(timeout=WAIT_S)
+    assert sorted(command.digests) == ['new', 'old']
+    assert list(command.proven) == ['old']
+    assert command.domain == 'd'
+    rig.edge.hold.set()
+
+
 def test_broken_connection_alone_is_no_lost_target(make_rig):
     """Guards against suspects made by a cut connection."""
     rig = make_rig()
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,267 @@
+"""Real processes: a request that crashes its targets, and a lost domain."""
+
+import dataclasses
+import itertools
+import os
+import random
+import signal
+import threading
+import time
+from collections import Counter
+
+import pytest
+import urllib3
+
+from shallotgate.cli import ServerUnreachableError, UnknownOutcomeError
+from shallotgate.codec import encode_json
+from shallotgate.generated.answers import QueryRequest
+from shallotgate.query import encode_content
+from testkit.deployments import make_small_clearing
+from testkit.runner import Tier, wait_until
+
+GROUP = 'tracedesk'
+CLASS = 'teller'
+CALLER = 'tellers'
+PAGE = '/v1/quarantine'
+DOMAIN = 'bc-lower-b'
+LIMIT_S = 90
+RESENDS = 10
+# So few that a query is in flight on two of three busy targets of a domain.
+ITEMS = 2
+WORKERS = 12
+# Long enough for most targets to have attempts in flight at any time.
+SERVICE_MS = 100
+# Exit status of a stand-in that a request crashed.
+CRASHED = 139
+
+
+@pytest.fixture
+def rng():
+    seed = random.randrange(2**32)
+    print(f'seed {seed}')
+    return random.Random(seed)
+
+
+@pytest.fixture
+def tier():
+    deployment = make_small_clearing()
+    services = tuple(
+        dataclasses.replace(service, service_ms=SERVICE_MS)
+        for service in deployment.services
+    )
+    deployment = dataclasses.replace(deployment, services=services)
+    with Tier(deployment, settings={'abort_on_breach': True}) as running:
+        running.start()
+        wait_complete(running, [{'item': -1}])
+        yield running
+        assert running.list_breaches() == []
+
+
+def ask(tier, entry, query):
+    request = {'group': GROUP, 'class_name': CLASS, 'query': query}
+    client = tier.clients.caller(entry, CALLER)
+    try:
+        return client.call('POST', '/v1/query', request).content
+    except (ServerUnreachableError, UnknownOutcomeError) as error:
+        return {'outcome': 'none', 'reason': str(error)}
+
+
+def make_digest(query):
+    request = QueryRequest(group=GROUP, class_name=CLASS, query=query)
+    return encode_content(request)[0]
+
+
+def wait_complete(tier, queries):
+    """Wait until each entry gives a complete answer to each query."""
+    for entry, query in itertools.product(tier.instances, queries):
+        wait_until(
+            lambda entry=entry, query=query: (
+                ask(tier, entry, query)['outcome'] == 'complete'
+            ),
+            LIMIT_S,
+            f'complete answer of {entry} to {query}',
+        )
+
+
+def read_statuses(tier):
+    """Return the status of each digest that is or was a suspect."""
+    pages = []
+
+    def read():
+        pages[:] = [tier.clients.read(next(iter(tier.instances)), PAGE)]
+        return pages[0] is not None
+
+    wait_until(read, LIMIT_S, 'the quarantine page')
+    return {one['digest']: one['status'] for one in pages[0]}
+
+
+class Load:
+    """Workers that resend each innocent query until it is complete."""
+
+    def __init__(self, tier, rng):
+        self.outcomes = Counter()
+        self.unanswered = []
+        self._tier = tier
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(
+                target=self._work,
+                args=(random.Random(rng.random()),),
+            )
+            for _ in range(WORKERS)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_error):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+        print(dict(self.outcomes))
+
+    def count_complete(self):
+        return self.outcomes['complete', '']
+
+    def _work(self, rng):
+        while not self._stopped.is_set():
+            query = {'item': rng.randrange(ITEMS)}
+            give_up_at = time.monotonic() + LIMIT_S
+            while not self._is_complete(rng, query):
+                if time.monotonic() > give_up_at:
+                    self.unanswered.append(query)
+                    return
+                time.sleep(0.05)
+
+    def _is_complete(self, rng, query):
+        entry = rng.choice(list(self._tier.instances))
+        answer = ask(self._tier, entry, query)
+        outcome = answer.get('outcome', 'none')
+        self.outcomes[outcome, answer.get('reason', '')] += 1
+        return outcome == 'complete'
+
+
+class Reviver:
+    """Restarts stand-ins that ended, as a platform does."""
+
+    def __init__(self, tier):
+        self._tier = tier
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._work)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_error):
+        self._stopped.set()
+        self._thread.join()
+
+    def _work(self):
+        while not self._stopped.wait(0.2):
+            for process in self._tier.targets.values():
+                if not process.is_running():
+                    process.start()
+
+
+def count_crashes(tier):
+    for process in tier.targets.values():
+        process.is_running()
+    return sum(
+        process.exits.count(CRASHED) for process in tier.targets.values()
+    )
+
+
+def stop_crashing(tier):
+    for name in tier.targets:
+        urllib3.request(
+            'POST',
+            f'http://{tier.layout.listen_addresses[name]}/v1/admin',
+            body=encode_json({'crash_on_content': False}),
+            headers={'Connection': 'close'},
+            timeout=LIMIT_S,
+            retries=False,
+        )
+
+
+def test_crashing_request_costs_two_targets_in_the_tier(tier, rng):
+    """Guards against a request that takes down one target after the other
+    when its caller resends it, and condemns what ran next to it."""
+    crashing = {'crash': True, 'number': rng.randrange(2**32)}
+    digest = make_digest(crashing)
+    entries = itertools.cycle(rng.sample(list(tier.instances), 4))
+    with Reviver(tier), Load(tier, rng) as load:
+        wait_until(lambda: load.count_complete() > 20, LIMIT_S, 'load')
+        answers = [ask(tier, next(entries), crashing) for _ in range(RESENDS)]
+        outcomes = Counter((one['outcome'], one['reason']) for one in answers)
+        print('crashing request:', dict(outcomes), count_crashes(tier))
+        assert {one['outcome'] for one in answers} <= {'failed', 'refused'}
+        for entry in tier.instances:
+            wait_until(
+                lambda entry=entry: (
+                    ask(tier, entry, crashing)['reason'] == 'quarantined'
+                ),
+                LIMIT_S,
+                f'quarantine at {entry}',
+            )
+        complete = load.count_complete()
+        wait_until(
+            lambda: load.count_complete() > complete + 100,
+            LIMIT_S,
+            'load after the quarantine',
+        )
+    assert 1 <= count_crashes(tier) <= 2
+    assert load.unanswered == []
+    statuses = read_statuses(tier)
+    condemned = [one for one in statuses if statuses[one] == 'quarantined']
+    assert condemned == [digest]
+    wait_until(
+        lambda: all(one.is_running() for one in tier.targets.values()),
+        LIMIT_S,
+        'all targets',
+    )
+    wait_complete(tier, [{'item': number} for number in range(ITEMS)])
+    stop_crashing(tier)
+    operator = tier.clients.operator(next(iter(tier.instances)))
+    lift = {'digest': digest, 'reason': 'the targets were mended'}
+    assert operator.call('POST', '/v1/quarantine/lift', lift).status == 200
+    assert read_statuses(tier)[digest] == 'cleared'
+    wait_complete(tier, [crashing])
+
+
+def test_lost_domain_condemns_no_content(tier, rng):
+    """Guards against innocent content that is quarantined because it was in
+    flight on several targets of a failure domain that crashed."""
+    killed = [
+        tier.targets[target.name]
+        for _, target in tier.deployment.list_targets()
+        if target.domain == DOMAIN
+    ]
+    with Load(tier, rng) as load:
+        wait_until(lambda: load.count_complete() > 100, LIMIT_S, 'load')
+        for process in killed:
+            os.kill(process.pid, signal.SIGKILL)
+        wait_until(lambda: read_statuses(tier), LIMIT_S, 'suspects')
+        complete = load.count_complete()
+        wait_until(
+            lambda: load.count_complete() > complete + 100,
+            LIMIT_S,
+            'load without the domain',
+        )
+        for process in killed:
+            process.wait(LIMIT_S)
+            process.start()
+        complete = load.count_complete()
+        wait_until(
+            lambda: load.count_complete() > complete + 100,
+            LIMIT_S,
+            'load after the restart',
+        )
+    assert load.unanswered == []
+    statuses = Counter(read_statuses(tier).values())
+    print('digests:', dict(statuses))
+    assert not statuses['quarantined']
+    wait_complete(tier, [{'item': number} for number in range(ITEMS)])
+    assert 'quarantined' not in read_statuses(tier).values()
