--- a/shallotgate/membership/_session.py
+++ b/shallotgate/membership/_session.py
@@ -151,6 +151,8 @@
             self._pacer.note_refused(beat, '')
             return
         self._pacer.note_answered(beat)
+        elapsed_ms = (time.monotonic() - beat.sent_at) * _MS_PER_S
+        self._metrics.record_ms('heartbeat_ms', elapsed_ms)
         if isinstance(reply, HeartbeatReply):
             self._take(beat, reply)
 
--- a/testkit/bench/__main__.py
+++ b/testkit/bench/__main__.py
@@ -67,6 +67,7 @@
         f'\n{name}: {scenario.purpose}\n'
         f'policy {dict(policy)}, seed {seed}, load {scenario.load}, '
         f'{result.cpu_ms_per_attempt} ms CPU per attempt, '
+        f'heartbeat p99 {result.heartbeat_p99_ms} ms, '
         f'{len(result.breaches)} breaches\n'
         f'{format_table(result.figures)}\n',
     )
--- a/testkit/bench/_deployment.py
+++ b/testkit/bench/_deployment.py
@@ -33,14 +33,7 @@
     return Deployment(
         region='bc-lower',
         owner='admin',
-        instances=tuple(
-            InstancePlan(
-                name=f'entry-{number + 1}',
-                domain=_DOMAINS[number % len(_DOMAINS)],
-                control=number < _CONTROL_MEMBERS,
-            )
-            for number in range(scenario.entries)
-        ),
+        instances=_list_instances(scenario),
         services=tuple(
             _make_service(number, scenario)
             for number in range(scenario.services)
@@ -63,6 +56,30 @@
     )
 
 
+def _list_instances(scenario: Scenario) -> tuple[InstancePlan, ...]:
+    is_shared = not scenario.separate_control
+    entries = tuple(
+        InstancePlan(
+            name=f'entry-{number + 1}',
+            domain=_DOMAINS[number % len(_DOMAINS)],
+            control=is_shared and number < _CONTROL_MEMBERS,
+        )
+        for number in range(scenario.entries)
+    )
+    if is_shared:
+        return entries
+    members = tuple(
+        InstancePlan(
+            name=f'control-{number + 1}',
+            domain=_DOMAINS[number],
+            entry=False,
+            control=True,
+        )
+        for number in range(_CONTROL_MEMBERS)
+    )
+    return entries + members
+
+
 def read_capacity(scenario: Scenario) -> float:
     """Return the queries per second at which all slots are busy.
 
--- a/testkit/bench/_run.py
+++ b/testkit/bench/_run.py
@@ -1,6 +1,7 @@
 """One run of a scenario."""
 
 import os
+import re
 import time
 from collections.abc import Mapping, Sequence
 from dataclasses import asdict, dataclass
@@ -8,17 +9,20 @@
 from pathlib import Path
 from typing import Any
 
+import urllib3
+
 from testkit.bench._actions import run_events
 from testkit.bench._deployment import GROUP, make_deployment, read_capacity
 from testkit.bench._load import LoadGenerator, Sample
 from testkit.bench._report import PhaseFigures, summarize
 from testkit.bench._scenario import Scenario
-from testkit.runner import Tier, wait_until
+from testkit.runner import OPERATOR_TOKENS, InstancePlan, Tier, wait_until
 
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 _USER_TICKS_FIELD = 11
 _SYSTEM_TICKS_FIELD = 12
 _SNAPSHOT_LIMIT_S = 60
+_HEARTBEAT_P99 = re.compile(r'heartbeat_ms\{quantile="0\.99"\} (\S+)')
 _MS_PER_S = 1000
 
 
@@ -31,6 +35,8 @@
     # CPU time of all instances for each attempt, in milliseconds; counts
     # queries, heartbeats and everything else that they do.
     cpu_ms_per_attempt: float
+    # Longest 99th percentile of a heartbeat's time among the instances.
+    heartbeat_p99_ms: float
     breaches: Sequence[str]
 
 
@@ -61,6 +67,7 @@
             samples=samples,
             figures=summarize(scenario, samples),
             cpu_ms_per_attempt=round(cpu_s * _MS_PER_S / attempts, 3),
+            heartbeat_p99_ms=_read_heartbeat_ms(tier),
             breaches=tier.list_breaches(),
         )
 
@@ -78,6 +85,7 @@
         'seed': seed,
         'time': time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime()),
         'cpu_ms_per_attempt': result.cpu_ms_per_attempt,
+        'heartbeat_p99_ms': result.heartbeat_p99_ms,
         'figures': [asdict(row) for row in result.figures],
         'breaches': list(result.breaches),
     }
@@ -85,7 +93,7 @@
 
 def _wait_complete(tier: Tier) -> None:
     """Wait until every entry answers a query completely."""
-    for plan in tier.deployment.instances:
+    for plan in _list_entry_plans(tier):
         wait_until(
             partial(_is_complete, tier, plan.name),
             _SNAPSHOT_LIMIT_S,
@@ -100,8 +108,32 @@
     return bool(answer.get('outcome') == 'complete')
 
 
+def _list_entry_plans(tier: Tier) -> list[InstancePlan]:
+    return [plan for plan in tier.deployment.instances if plan.entry]
+
+
 def _list_entries(tier: Tier) -> list[str]:
-    return [tier.layout.addresses[name].caller for name in tier.list_running()]
+    running = set(tier.list_running())
+    return [
+        tier.layout.addresses[plan.name].caller
+        for plan in _list_entry_plans(tier)
+        if plan.name in running
+    ]
+
+
+def _read_heartbeat_ms(tier: Tier) -> float:
+    longest: float = 0
+    for name in tier.list_running():
+        address = tier.layout.addresses[name].operator
+        page = urllib3.request(
+            'GET',
+            f'http://{address}/metrics',
+            headers={'Authorization': f'Bearer {OPERATOR_TOKENS["admin"]}'},
+        )
+        found = _HEARTBEAT_P99.search(page.data.decode())
+        if found:
+            longest = max(longest, float(found[1]))
+    return longest
 
 
 def _read_cpu_s(tier: Tier) -> float:
--- a/testkit/bench/_scenario.py
+++ b/testkit/bench/_scenario.py
@@ -41,10 +41,13 @@
     class_name: str = 'teller'
     # Share of queries whose content was sent before.
     repeated: float = 0
-    warm_up_s: float = 5
+    # Targets start cold and grow to their slots under load in this time.
+    warm_up_s: float = 15
     # Time of one attempt on a target in milliseconds.
     service_ms: float = 60
     entries: int = 6
+    # Whether the control members are processes of their own.
+    separate_control: bool = False
     # Seconds that a stand-in target stays cold after its start.
     cold_s: float = 0
     events: Sequence[Event] = field(default_factory=list)
