State where places in chunks are looked up

Cause: the comment said that a chunked mapping serves no part that is looked up for each attempt. The dispatch check and each accepted state of a target look places up once.

Change: the comment names the lookups that stay on a dict, those for each candidate of an attempt.

--- a/shallotgate/membership/_chunks.py
+++ b/shallotgate/membership/_chunks.py
@@ -21,7 +21,7 @@
     """A mapping whose edit copies only the chunks that it touches.
 
     A lookup takes longer than that of a dict, so it does not serve parts that
-    are looked up for each attempt.
+    are looked up for each candidate of an attempt.
     """
 
     __slots__ = ('_chunks',)
