Encode read-only tables of the catalogue

Cause: since state updates carry differences, the catalogue of a view has read-only tables, which the JSON encoder refused: GET /v1/catalogue failed on each instance after the first difference. Change: the codec turns read-only mappings into dicts; the unit test's view has such a table. Result: the unit test fails before and passes after.

--- a/shallotgate/codec/_tagged.py
+++ b/shallotgate/codec/_tagged.py
@@ -59,9 +59,20 @@
         raise CodecError(f'invalid {name}: {error}') from error
 
 
+def _open_mapping(part: object) -> object:
+    """Turn a read-only mapping, as views have them, into a dict."""
+    if isinstance(part, Mapping):
+        return dict(part)
+    raise NotImplementedError(f'{type(part).__name__} can not be encoded')
+
+
 def encode_json(message: object) -> bytes:
-    """Encode as JSON."""
-    return msgspec.json.encode(message)
+    """Encode as JSON.
+
+    >>> encode_json(MappingProxyType({'a': 1}))
+    b'{"a":1}'
+    """
+    return msgspec.json.encode(message, enc_hook=_open_mapping)
 
 
 def decode_json(encoded: bytes, expected: type[_T]) -> _T:
@@ -74,7 +85,7 @@
 
 def dump_builtins(message: object) -> Any:
     """Turn a message into dicts, lists and scalars."""
-    return msgspec.to_builtins(message)
+    return msgspec.to_builtins(message, enc_hook=_open_mapping)
 
 
 def load_builtins(content: object, expected: type[_T]) -> _T:
--- a/shallotgate/operators/tests/test_operators.py
+++ b/shallotgate/operators/tests/test_operators.py
@@ -1,4 +1,6 @@
 from collections.abc import Callable
+from dataclasses import replace
+from types import MappingProxyType
 from typing import Any
 
 import pytest
@@ -96,7 +98,10 @@
     view = TierView()
     versions = Versions(catalogue=3)
     places = list_places(CATALOGUE)
-    view.replace(View(CATALOGUE, {}, {}, {}, versions, places))
+    # A view that followed differences has read-only tables.
+    tables = MappingProxyType(dict(CATALOGUE.domains))
+    catalogue = replace(CATALOGUE, domains=tables)
+    view.replace(View(catalogue, {}, {}, {}, versions, places))
     application = OperatorApplication(
         OperatorPorts(
             keys=(
