Screen new content on quick and warm targets only

The bench also divided the CPU time of warm-up and run by the attempts of the run alone. Change: screening leaves out targets slower than three times the median by their owners' reports, and cold ones, if others remain; the bench counts the attempts of the warm-up. Conclusion: hedging alone can't help a screening that starts slow.

--- a/shallotgate/query/_pick.py
+++ b/shallotgate/query/_pick.py
@@ -1,5 +1,6 @@
 """Ways to pick the target of an attempt."""
 
+import statistics
 from collections.abc import Collection, Sequence
 from typing import Protocol
 
@@ -7,6 +8,10 @@
 from shallotgate.query._screening import rank_targets
 from shallotgate.routing import Candidate, ReplicaChooser
 
+# A target slower than the median by this factor screens nothing: each query
+# with new content waits for its screening.
+_SLOW_FACTOR = 3
+
 # Content that is not proven may reach no more targets.
 _MAX_EXPOSED = 2
 
@@ -90,7 +95,7 @@
             return None
         allowed = {
             one.target: one
-            for one in self._prefer_other_domains(candidates)
+            for one in _prefer_quick(self._prefer_other_domains(candidates))
             if one.target not in excluded
             and not (warm_only and one.observation.is_cold())
         }
@@ -110,6 +115,30 @@
         return others or candidates
 
 
+def _prefer_quick(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Leave out slow and cold targets if others remain.
+
+    Owners report latencies to all entries, so that these agree on the order
+    of what is left.
+    """
+    latencies = [_read_latency_ms(one) for one in candidates]
+    known = [latency for latency in latencies if latency]
+    if not known:
+        return candidates
+    limit_ms = statistics.median(known) * _SLOW_FACTOR
+    quick = [
+        one
+        for one, latency in zip(candidates, latencies, strict=True)
+        if latency <= limit_ms and not one.observation.is_cold()
+    ]
+    return quick or candidates
+
+
+def _read_latency_ms(candidate: Candidate) -> float:
+    state = candidate.observation.state
+    return state.latency_ms if state else 0
+
+
 class TrialPick:
     """The one target of a granted trial."""
 
--- a/shallotgate/query/tests/test_screening.py
+++ b/shallotgate/query/tests/test_screening.py
@@ -1,10 +1,12 @@
 import dataclasses
 import threading
+from typing import ClassVar
 
 import pytest
 
 from shallotgate.generated.answers import QueryRequest
 from shallotgate.query import encode_content
+from shallotgate.query._pick import ScreeningPick
 from shallotgate.query.tests.tier import (
     Delayed,
     Tier,
@@ -12,6 +14,7 @@
     reply_ok,
     reply_with,
 )
+from shallotgate.routing import Candidate, Observations
 from shallotgate.routing.tests.builders import make_state, wait_until
 
 DEADLY = {'query': {'deadly': True}, 'class_name': 'coverage'}
@@ -260,3 +263,32 @@
     for target in lost:
         tier.report(target, lost=False)
     assert tier.ask(**DEADLY).outcome == 'complete'
+
+
+def test_slow_and_cold_targets_screen_nothing():
+    """Guards against new content that always waits for one slow target."""
+    observations = Observations()
+    for name, latency_ms, cold in (
+        ('quick', 5.0, False),
+        ('other', 6.0, False),
+        ('slow', 60.0, False),
+        ('cold', 5.0, True),
+    ):
+        state = make_state(name, latency_ms=latency_ms, cold=cold)
+        observations.accept_state(state)
+    candidates = [
+        Candidate(name, 's', 'e', 1, near=True, observation=one)
+        for name in ('quick', 'other', 'slow', 'cold')
+        for one in [observations.observe(name)]
+    ]
+    picked = {
+        ScreeningPick(f'{number}', FakeExchange())
+        .pick(candidates, (), warm_only=False)
+        .target
+        for number in range(50)
+    }
+    assert picked == {'quick', 'other'}
+
+
+class FakeExchange:
+    exposed: ClassVar[dict[str, str]] = {}
--- a/testkit/bench/_load.py
+++ b/testkit/bench/_load.py
@@ -60,6 +60,7 @@
         self._arrivals: queue.SimpleQueue[_Arrival | None] = queue.SimpleQueue()
         self._turns = itertools.count()
         self._samples: list[Sample] = []
+        self._attempts: list[int] = []
         self._started_at: float = 0
 
     def run(self) -> list[Sample]:
@@ -82,6 +83,10 @@
         """Return the seconds since the start of the measured load."""
         return time.monotonic() - self._started_at
 
+    def count_attempts(self) -> int:
+        """Return the attempts of all answers, warm-up included."""
+        return sum(self._attempts)
+
     def _schedule(self) -> None:
         due_s = -self._scenario.warm_up_s
         fresh = 0
@@ -144,6 +149,8 @@
         return answer
 
     def _note(self, arrival: _Arrival, answer: dict[str, object]) -> None:
+        attempts = int(str(answer.get('attempts', 0)))
+        self._attempts.append(attempts)
         if arrival.due_s < 0:
             return
         shards = answer.get('shards') or {}
@@ -157,6 +164,6 @@
                 reason=str(answer.get('reason', '')),
                 asked=int(shards.get('asked', 0)),
                 answered=int(shards.get('answered', 0)),
-                attempts=int(str(answer.get('attempts', 0))),
+                attempts=attempts,
             ),
         )
--- a/testkit/bench/_run.py
+++ b/testkit/bench/_run.py
@@ -62,7 +62,7 @@
         samples = load.run()
         cpu_s = _read_cpu_s(tier) - before_s
         events.join()
-        attempts = sum(sample.attempts for sample in samples) or 1
+        attempts = load.count_attempts() or 1
         return RunResult(
             samples=samples,
             figures=summarize(scenario, samples),
