--- a/shallotgate/targets/tests/fakes.py
+++ b/shallotgate/targets/tests/fakes.py
@@ -298,3 +298,11 @@
             return not self.state().cold
 
         wait_until(feed, 'a warm target')
+
+
+def hold_one(rig, **fields):
+    """Return an attempt that is running on a target that does not answer."""
+    rig.edge.hold.clear()
+    attempt, replies = rig.submit(**fields)
+    wait_until(lambda: attempt.attempt_id in rig.edge.running, 'the dispatch')
+    return attempt, replies
