--- a/testkit/bench/__main__.py
+++ b/testkit/bench/__main__.py
@@ -12,6 +12,7 @@
 from testkit.bench._report import format_table, write_results
 from testkit.bench._run import make_content, run_scenario
 from testkit.bench._scenario import Scenario, list_scenarios, load_scenario
+from testkit.bench._target_watch import format_readings
 
 DEFAULT_FOLDER = Path('out')
 
@@ -69,7 +70,8 @@
         f'{result.cpu_ms_per_attempt} ms CPU per attempt, '
         f'heartbeat p99 {result.heartbeat_p99_ms} ms, '
         f'{len(result.breaches)} breaches\n'
-        f'{format_table(result.figures)}\n',
+        f'{format_table(result.figures)}\n'
+        f'{format_readings(result.targets)}\n',
     )
 
 
--- a/testkit/bench/_report.py
+++ b/testkit/bench/_report.py
@@ -6,10 +6,13 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from testkit.bench._load import Sample
+from testkit.bench._sample import Sample
 from testkit.bench._scenario import Scenario
 
 _USEFUL = frozenset(('complete', 'partial'))
+# A query sent later than this after it was due counts as late: a sixth of
+# the time of one attempt on a target of the scenarios.
+LATE_MS = 10
 
 
 @dataclass(frozen=True)
@@ -18,7 +21,8 @@
 
     phase: str
     queries: int
-    # Answers per second that are complete or partial.
+    # Complete or partial answers that ended within the phase, per second,
+    # whenever their queries were due.
     useful_per_s: float
     # Milliseconds from when a query was due, over useful answers.
     p50_ms: float
@@ -30,6 +34,11 @@
     complete: float
     # Attempts for each shard asked, over useful answers.
     attempts_per_shard: float
+    # Milliseconds that the generator took to turn to a query that was due,
+    # and number of queries that it sent more than ``LATE_MS`` late. Where
+    # these are large, the generator was measured and not the tier.
+    generator_lag_p99_ms: float
+    generator_late: int
     # Number of queries by outcome and reason.
     outcomes: Mapping[str, int]
 
@@ -56,19 +65,32 @@
         _summarize_phase(
             phase,
             [sample for sample in samples if start <= sample.due_s < end],
-            end - start,
+            _count_useful(samples, start, end) / (end - start),
         )
         for (phase, start), end in zip(starts, ends, strict=True)
     ]
 
 
+def _count_useful(
+    samples: Sequence[Sample],
+    start_s: float,
+    end_s: float,
+) -> int:
+    return sum(
+        start_s <= sample.ended_s < end_s
+        for sample in samples
+        if sample.outcome in _USEFUL
+    )
+
+
 def _summarize_phase(
     phase: str,
     samples: Sequence[Sample],
-    duration_s: float,
+    useful_per_s: float,
 ) -> PhaseFigures:
     useful = [sample for sample in samples if sample.outcome in _USEFUL]
     times = sorted(sample.elapsed_ms for sample in useful)
+    lags = sorted(sample.lag_ms for sample in samples)
     asked = sum(sample.asked for sample in useful) or 1
     complete = sum(sample.outcome == 'complete' for sample in useful)
     outcomes = Counter(
@@ -77,7 +99,7 @@
     return PhaseFigures(
         phase=phase,
         queries=len(samples),
-        useful_per_s=round(len(useful) / duration_s, 1),
+        useful_per_s=round(useful_per_s, 1),
         p50_ms=round(read_quantile(times, 0.5), 1),
         p99_ms=round(read_quantile(times, 0.99), 1),
         p999_ms=round(read_quantile(times, 0.999), 1),
@@ -87,6 +109,8 @@
             sum(sample.attempts for sample in useful) / asked,
             4,
         ),
+        generator_lag_p99_ms=round(read_quantile(lags, 0.99), 1),
+        generator_late=sum(lag_ms > LATE_MS for lag_ms in lags),
         outcomes=dict(outcomes),
     )
 
@@ -95,7 +119,8 @@
     """Return a table with one line for each phase."""
     header = (
         f'{"phase":<12}{"queries":>8}{"useful/s":>10}{"p50":>8}{"p99":>8}'
-        f'{"p99.9":>8}{"coverage":>10}{"extra":>8}  outcomes'
+        f'{"p99.9":>8}{"coverage":>10}{"extra":>8}'
+        f'{"lag p99":>9}{"late":>6}  outcomes'
     )
     lines = [header]
     for row in figures:
@@ -103,7 +128,9 @@
         lines.append(
             f'{row.phase:<12}{row.queries:>8}{row.useful_per_s:>10}'
             f'{row.p50_ms:>8}{row.p99_ms:>8}{row.p999_ms:>8}'
-            f'{row.coverage:>10.4f}{extra:>7.1f}%  {row.outcomes}',
+            f'{row.coverage:>10.4f}{extra:>7.1f}%'
+            f'{row.generator_lag_p99_ms:>9}{row.generator_late:>6}'
+            f'  {row.outcomes}',
         )
     return '\n'.join(lines)
 
--- a/testkit/bench/_run.py
+++ b/testkit/bench/_run.py
@@ -13,9 +13,11 @@
 
 from testkit.bench._actions import run_events
 from testkit.bench._deployment import GROUP, make_deployment, read_capacity
-from testkit.bench._load import LoadGenerator, Sample
+from testkit.bench._load import LoadGenerator
 from testkit.bench._report import PhaseFigures, summarize
+from testkit.bench._sample import MS_PER_S, Sample
 from testkit.bench._scenario import Scenario
+from testkit.bench._target_watch import TargetsReading, TargetWatch
 from testkit.runner import OPERATOR_TOKENS, InstancePlan, Tier, wait_until
 
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
@@ -23,13 +25,13 @@
 _SYSTEM_TICKS_FIELD = 12
 _SNAPSHOT_LIMIT_S = 60
 _HEARTBEAT_P99 = re.compile(r'heartbeat_ms\{quantile="0\.99"\} (\S+)')
-_MS_PER_S = 1000
 
 
 @dataclass(frozen=True)
 class RunResult:
     """Samples and figures of a run."""
 
+    # Warm-up included.
     samples: Sequence[Sample]
     figures: Sequence[PhaseFigures]
     # CPU time of all instances for each attempt, in milliseconds; counts
@@ -37,6 +39,8 @@
     cpu_ms_per_attempt: float
     # Longest 99th percentile of a heartbeat's time among the instances.
     heartbeat_p99_ms: float
+    # Cold targets and total limit over time, warm-up included.
+    targets: Sequence[TargetsReading]
     breaches: Sequence[str]
 
 
@@ -58,16 +62,20 @@
             lambda: _list_entries(tier),
             deployment.callers[0].key,
         )
+        load.start()
         events = run_events(tier, scenario, load.read_elapsed_s)
-        samples = load.run()
+        watch = TargetWatch(tier, load.read_elapsed_s)
+        with watch:
+            samples = load.wait()
         cpu_s = _read_cpu_s(tier) - before_s
         events.join()
-        attempts = load.count_attempts() or 1
+        attempts = sum(sample.attempts for sample in samples) or 1
         return RunResult(
             samples=samples,
             figures=summarize(scenario, samples),
-            cpu_ms_per_attempt=round(cpu_s * _MS_PER_S / attempts, 3),
+            cpu_ms_per_attempt=round(cpu_s * MS_PER_S / attempts, 3),
             heartbeat_p99_ms=_read_heartbeat_ms(tier),
+            targets=watch.readings,
             breaches=tier.list_breaches(),
         )
 
@@ -87,6 +95,7 @@
         'cpu_ms_per_attempt': result.cpu_ms_per_attempt,
         'heartbeat_p99_ms': result.heartbeat_p99_ms,
         'figures': [asdict(row) for row in result.figures],
+        'targets': [asdict(row) for row in result.targets],
         'breaches': list(result.breaches),
     }
 
--- a/testkit/bench/tests/test_report.py
+++ b/testkit/bench/tests/test_report.py
@@ -1,5 +1,7 @@
+from dataclasses import replace
+
 from testkit.bench import Scenario, load_scenario, summarize
-from testkit.bench._load import Sample
+from testkit.bench._sample import Sample
 from testkit.bench._scenario import list_scenarios
 
 
@@ -29,3 +31,30 @@
     """Guards against scenario files that fail only when they are run."""
     for name in list_scenarios():
         assert load_scenario(name).name == name
+
+
+def test_useful_answers_count_where_they_ended():
+    """Guards against throughput that is counted outside of the window.
+
+    At overload answers of queries that were due in the window pile up after
+    its end, as those of the warm-up do after its start.
+    """
+    scenario = Scenario('x', 'y', 1, 0.5)
+    samples = [
+        replace(make_sample(-0.5), elapsed_ms=800),
+        make_sample(0.2),
+        replace(make_sample(0.9), elapsed_ms=300),
+    ]
+    (row,) = summarize(scenario, samples)
+    assert row.useful_per_s == 2
+    assert row.queries == 2
+
+
+def test_lag_of_the_generator_is_reported():
+    """Guards against a slow generator that looks like a slow tier."""
+    scenario = Scenario('x', 'y', 1, 0.5)
+    lags = (0, 1, 2, 40)
+    samples = [replace(make_sample(0.5), lag_ms=lag) for lag in lags]
+    samples.append(replace(make_sample(-1), lag_ms=900))
+    (row,) = summarize(scenario, samples)
+    assert (row.generator_lag_p99_ms, row.generator_late) == (40, 1)
