Wait on the observed condition in the tests of answers

Cause: test_late_and_cancelled_replies_stay_apart looked for a hedge after a fixed number of answers. Hedges go to warm targets only. Cold targets are left out of hedging by design, so the test is at fault: it ends before replicas are warm.

All assertions on guarantees stay, those on service after a loss are stricter.

--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -112,18 +112,33 @@
     assert read_runs(scene)[key] == 1
 
 
+def send_stalled(scene, key):
+    """Send a key that outlasts its deadline on each entry.
+
+    A send whose deadline passes before the dispatch is refused and has not
+    run, so the first one is repeated until a target has begun the key.
+    """
+    answers = []
+
+    def is_begun():
+        answers[:] = [run_short(scene, scene.entries[0], key)]
+        return read_runs(scene).get(key)
+
+    wait_until(is_begun, LIMIT_S, 'the key begun')
+    others = scene.entries[1:]
+    return answers + [run_short(scene, entry, key) for entry in others]
+
+
+def run_short(scene, entry, key):
+    return run_once(scene, entry, key, deadline_ms=SHORT_DEADLINE_MS)
+
+
 def test_stalled_target_is_not_followed_by_another(scene):
     """Guards against a retry of a request whose reply is overdue."""
     for target in list_label_targets(scene):
         scene.set(target, service_ms=STALL_MS)
     keys = [make_dated_id() for _ in range(3)]
-    answers = {
-        key: [
-            run_once(scene, entry, key, deadline_ms=SHORT_DEADLINE_MS)
-            for entry in scene.entries
-        ]
-        for key in keys
-    }
+    answers = {key: send_stalled(scene, key) for key in keys}
     assert [read_runs(scene).get(key) for key in keys] == [1, 1, 1]
     scene.restore()
     for key in keys:
@@ -171,6 +186,8 @@
         scene.tier.instances[victim].kill()
         first = future.result()
     others = [entry for entry in scene.entries if entry != victim]
+    # Without a leader a resend is refused, which is true but shows nothing.
+    wait_until(lambda: is_led(scene, others), LIMIT_S, 'a leader')
     answers = [first, *(run_once(scene, entry, key) for entry in others)]
     scene.tier.restart(victim)
     answers.extend(run_once(scene, entry, key) for entry in scene.entries)
@@ -179,6 +196,13 @@
     check_key(answers, read_runs(scene)[key])
 
 
+def is_led(scene, entries):
+    """Return whether entries agree that one of them leads."""
+    pages = [scene.tier.clients.read(entry, '/v1/status') for entry in entries]
+    leaders = {page['leader'] if page else None for page in pages}
+    return len(leaders) == 1 and leaders <= set(entries)
+
+
 def find_owner(scene, key):
     """Return the owner of the target that runs a key."""
     target = next(
--- a/tests/test_one_snapshot.py
+++ b/tests/test_one_snapshot.py
@@ -59,6 +59,16 @@
     }
 
 
+def wait_complete(load, version):
+    """Wait for a complete answer from an index version."""
+    load.wait_for(
+        lambda answer: (
+            answer['outcome'] == 'complete' and answer['snapshot'] == version
+        ),
+        f'a complete answer from version {version}',
+    )
+
+
 def publish(scene, generator, load):
     """Publish a version target by target, then retire the former one."""
     targets = list(scene.targets)
@@ -69,10 +79,7 @@
         new = split(old)
         scene.partitions[new['index_version']] = new['partitions']
         scene.set_versions(target, [old, new])
-    load.wait_for(
-        lambda answer: answer.get('snapshot') == former + 1,
-        f'an answer from version {former + 1}',
-    )
+    wait_complete(load, former + 1)
     for target in targets:
         scene.set_versions(target, scene.read_versions(target)[1:])
     load.wait_more(ANSWERS)
@@ -87,6 +94,7 @@
     scene.delay(scene.list_targets('find-1')[0], 100)
     with Load(scene, generator, class_name=class_name) as load:
         load.wait_more(ANSWERS)
+        wait_complete(load, first)
         for _ in range(CHANGES):
             publish(scene, generator, load)
     answers = check_answers(scene, load.answers)
--- a/tests/test_own_answer.py
+++ b/tests/test_own_answer.py
@@ -55,6 +55,11 @@
     )
 
 
+def is_hedged(answer):
+    """Return whether an answer took more attempts than partitions."""
+    return answer['attempts'] > PARTITIONS
+
+
 @pytest.mark.parametrize('class_name', ['plain', 'screened'])
 def test_late_and_cancelled_replies_stay_apart(scene, class_name):
     """Guards against a late or a loser's reply given to another caller."""
@@ -66,13 +71,17 @@
         scene.set(scene.list_targets('find-0')[0], slow_factor=50)
         scene.set(scene.list_targets('find-1')[1], nonsense='silent')
         scene.delay(scene.list_targets('find-2')[2], 80)
+        since = len(load.answers)
         wait_until(
             lambda: count_cancelled(scene) > 0, LIMIT_S, 'cancelled attempts'
         )
+        # Hedges go to warm targets only, so how many answers pass before the
+        # first one depends on the speed of the machine.
+        load.wait_for(is_hedged, 'an answer with further attempts', since)
         load.wait_more(ANSWERS)
     answers = check_own(scene, load)
     # Hedges or retries were sent, so that there were losers.
-    assert any(one['attempts'] > PARTITIONS for one in answers)
+    assert any(is_hedged(one) for one in answers)
 
 
 def test_cut_connections_mix_no_answers(scene):
--- a/tests/test_true_refusals.py
+++ b/tests/test_true_refusals.py
@@ -1,5 +1,6 @@
 """G6: what was refused was not run by any target."""
 
+import itertools
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -12,6 +13,7 @@
 # Entries refuse this long after the majority was lost.
 REFUSING_AFTER_S = 5
 REFUSING_FOR_S = 2
+LATE_ANSWERS = 3
 BURST = 160
 
 
@@ -56,8 +58,17 @@
             deadline_ms=generator.choice((400, 900, 1500)),
         )
 
+    answers = []
+    numbers = itertools.count()
+
+    def is_overloaded():
+        burst = list(itertools.islice(numbers, BURST))
+        answers.extend(pool.map(ask, burst))
+        outcomes = {one['outcome'] for one in answers if one}
+        return outcomes >= {'refused', 'complete'}
+
     with ThreadPoolExecutor(BURST) as pool:
-        answers = list(pool.map(ask, range(BURST)))
+        wait_until(is_overloaded, LIMIT_S, 'refused and complete answers')
     outcomes = check_refusals(scene, answers)
     assert outcomes['refused']
     assert outcomes['complete']
@@ -67,19 +78,28 @@
     """Guards against "not run" for what a target has begun."""
     for target in scene.targets:
         scene.set(target, service_ms=2000)
-    # Distinct queries, one after another on each entry.
-    answers = [
-        scene.ask(entry, {'slow': entry, 'class': name}, **fields)
-        for entry in scene.entries
-        for name, fields in (
-            ('plain', {'class_name': 'plain', 'deadline_ms': 500}),
-            ('screened', {'class_name': 'screened', 'deadline_ms': 500}),
+    answers = []
+    rounds = itertools.count()
+
+    def is_begun():
+        # Distinct queries, one after another on each entry.
+        number = next(rounds)
+        answers.extend(
+            scene.ask(
+                entry,
+                {'slow': entry, 'class': name, 'round': number},
+                class_name=name,
+                deadline_ms=500,
+            )
+            for entry in scene.entries
+            for name in ('plain', 'screened')
         )
-    ]
+        ran = scene.sum_counts('ran_requests')
+        return any(ran.get(one['request_id']) for one in answers)
+
+    wait_until(is_begun, LIMIT_S, 'a request that a target has begun')
     outcomes = check_refusals(scene, answers)
     assert 'complete' not in outcomes
-    ran = scene.sum_counts('ran_requests')
-    assert any(ran.get(one['request_id']) for one in answers)
 
 
 def test_targets_that_shed_are_refusals_without_a_run(scene):
@@ -123,7 +143,13 @@
             process.start()
         scene.tier.wait_ready(victim)
         load.entries = scene.entries
+        since = len(load.answers)
         load.wait_more(ANSWERS)
+        load.wait_for(
+            lambda answer: answer['outcome'] == 'complete',
+            'a complete answer after the loss',
+            since,
+        )
     assert check_refusals(scene, [answer for _, answer in load.answers])[
         'complete'
     ]
@@ -139,13 +165,14 @@
             scene.tier.instances[entry].kill()
         lost_at = time.monotonic()
         late = []
-        while time.monotonic() - lost_at < REFUSING_AFTER_S + REFUSING_FOR_S:
+        end = lost_at + REFUSING_AFTER_S + REFUSING_FOR_S
+        # One slow answer may last until the end.
+        while len(late) < LATE_ANSWERS or time.monotonic() < end:
             is_late = time.monotonic() - lost_at > REFUSING_AFTER_S
             answer = scene.ask(left, {'left': len(load.answers)})
             if is_late:
                 late.append(answer)
             time.sleep(0.1)
-        assert late
         assert {one['outcome'] for one in late} == {'refused'}
         for entry in lost:
             scene.tier.instances[entry].start()
--- a/tests/tier_kit.py
+++ b/tests/tier_kit.py
@@ -264,12 +264,12 @@
             lambda: len(self.answers) >= aim, LIMIT_S, f'{count} answers'
         )
 
-    def wait_for(self, condition, subject):
-        """Wait until an answer meets a condition."""
+    def wait_for(self, condition, subject, since=0):
+        """Wait until an answer after the first ``since`` meets a condition."""
         wait_until(
             lambda: any(
                 answer and condition(answer)
-                for _, answer in tuple(self.answers)
+                for _, answer in self.answers[since:]
             ),
             LIMIT_S,
             subject,
