Keep threads of the callers' server free of waiting queries

At twice the targets' capacity the queries in the admission queue held all of them, and further requests waited in front of the server, where no deadline and no refusal reaches them; a readiness check of the balancer would have waited there as well. Change: the queries that run and wait are bounded by seven eighths of the threads. Beyond that the last waiter is refused in favour of a query that goes before it, else the new one is refused at once (queue_full, not run).

--- a/shallotgate/daemon/_entry.py
+++ b/shallotgate/daemon/_entry.py
@@ -26,6 +26,8 @@
 
 _LOGGER = get_logger('daemon')
 _IDLE_LIMIT_S = 60
+# One in this many threads of the callers' server is kept free of queries.
+_SPARE_SHARE = 8
 
 
 class EntryRole:
@@ -171,6 +173,7 @@
                 domain=base.settings.domain,
                 start_id=base.start_id,
                 max_attempt_ms=base.settings.max_attempt_ms,
+                query_places=_count_places(base.settings.caller_threads),
             ),
         )
         self._server = HttpServer(
@@ -189,3 +192,13 @@
         if not self.is_informed():
             return 'waiting for the reports of target owners'
         return ''
+
+
+def _count_places(caller_threads: int) -> int:
+    """Return how many queries may hold a thread of the callers' server.
+
+    The others refuse queries and answer readiness checks. With all threads
+    held by waiting queries, further ones waited up to 3 s unseen in front of
+    the server, beyond their deadlines.
+    """
+    return max(caller_threads - max(caller_threads // _SPARE_SHARE, 1), 1)
--- a/shallotgate/query/_admission.py
+++ b/shallotgate/query/_admission.py
@@ -18,6 +18,8 @@
 # A query is worth starting with the mean time and two deviations left.
 _DEVIATIONS = 2
 _BURST_S = 1.0
+# Queries that may wait and run at once where no number is given.
+_PLACES = 512
 
 
 class RefusedError(ShallotgateError):
@@ -83,9 +85,15 @@
         self,
         limiter: LatencyLimiter | None = None,
         clock: Callable[[], float] = time.monotonic,
+        places: int = _PLACES,
     ) -> None:
+        """Wire the parts.
+
+        ``places`` is the number of queries that may wait and run at once.
+        """
         self._clock = clock
         self._limiter = limiter or LatencyLimiter()
+        self._places = places
         self._lock = threading.Lock()
         self._numbers = itertools.count()
         self._buckets: dict[str, _Bucket] = {}
@@ -179,7 +187,7 @@
         policy: ClassPolicy,
         deadline: float,
     ) -> _Waiter | None:
-        if self.in_flight < int(self._limiter.limit) and not self._queue:
+        if self._has_limit_left() and not self._queue:
             self.in_flight += 1
             return None
         if self._queued[class_name] >= policy.queue_limit:
@@ -187,12 +195,29 @@
         rank = (-policy.priority, deadline, next(self._numbers))
         if self._clock() + self._estimate(class_name, rank) > deadline:
             raise RefusedError('overload')
+        if self.in_flight + self._queued.total() >= self._places:
+            self._displace(rank)
         waiter = _Waiter(rank, class_name, deadline, threading.Lock())
         waiter.gate.acquire()
         heapq.heappush(self._queue, waiter)
         self._queued[class_name] += 1
         return waiter
 
+    def _has_limit_left(self) -> bool:
+        most = min(int(self._limiter.limit), self._places)
+        return self.in_flight < most
+
+    def _displace(self, rank: tuple[int, float, int]) -> None:
+        """Refuse the last waiter in favour of one that goes before it."""
+        last = max(
+            (waiter for waiter in self._queue if not waiter.verdict),
+            default=None,
+        )
+        if last is None or last.rank < rank:
+            raise RefusedError('queue_full')
+        self._settle(last, 'queue_full')
+        last.gate.release()
+
     def _estimate(self, class_name: str, rank: tuple[int, float, int]) -> float:
         """Return the expected seconds to wait and to run."""
         ahead = 1 + sum(1 for waiter in self._queue if waiter.rank < rank)
@@ -213,7 +238,7 @@
 
     def _admit_waiters(self) -> None:
         now = self._clock()
-        while self._queue and self.in_flight < int(self._limiter.limit):
+        while self._queue and self._has_limit_left():
             waiter = heapq.heappop(self._queue)
             if waiter.verdict:
                 continue
--- a/shallotgate/query/_service.py
+++ b/shallotgate/query/_service.py
@@ -35,7 +35,7 @@
         self._idle = threading.Condition()
         self._running = 0
         self._is_stopping = False
-        self._admission = Admission()
+        self._admission = Admission(places=parts.query_places)
         self._metrics.gauge('admission_limit', self._admission.read_limit)
         self._metrics.gauge('admission_queued', self._admission.count_queued)
         self._metrics.gauge('queries_in_flight', self.count_running)
--- a/shallotgate/query/_task.py
+++ b/shallotgate/query/_task.py
@@ -48,6 +48,8 @@
     start_id: str
     # Longest time of one attempt in milliseconds.
     max_attempt_ms: float = 5000
+    # Queries that may wait and run at once.
+    query_places: int = 512
     # Digests that completed on a target.
     proven: DigestTable[bool] = field(default_factory=DigestTable)
     # Names of targets that were lost while they ran a digest.
--- a/shallotgate/query/tests/test_admission.py
+++ b/shallotgate/query/tests/test_admission.py
@@ -68,6 +68,43 @@
         enter(admission, policy=make_policy(queue_limit=0))
 
 
+def test_places_bound_what_runs_and_waits():
+    """Guards against waiting queries that hold all threads of the server."""
+    admission = Admission(FixedLimiter(5), places=2)
+    enter(admission)
+    enter(admission)
+    with pytest.raises(RefusedError, match='queue_full'):
+        enter(admission)
+    admission.leave('teller', 'c', 0.001)
+    enter(admission)
+    assert admission.in_flight == 2
+
+
+def test_urgent_query_displaces_the_last_waiter():
+    """Guards against patient queries that keep urgent ones out."""
+    admission = Admission(FixedLimiter(1), places=2)
+    enter(admission)
+    outcomes = SimpleQueue()
+
+    def ask(label, priority):
+        try:
+            enter(admission, 9, make_policy(priority=priority), label)
+        except RefusedError as error:
+            outcomes.put((label, error.reason))
+        else:
+            outcomes.put((label, 'admitted'))
+
+    for label, priority in (('patient', 1), ('urgent', 7)):
+        threading.Thread(target=ask, args=(label, priority)).start()
+        wait_until(lambda: admission.count_queued() == 1)
+    assert outcomes.get(timeout=5) == ('patient', 'queue_full')
+    with pytest.raises(RefusedError, match='queue_full'):
+        enter(admission, policy=make_policy(priority=1))
+    admission.leave('teller', 'c', 0.001)
+    assert outcomes.get(timeout=5) == ('urgent', 'admitted')
+    assert admission.count_queued() == 0
+
+
 def test_query_that_would_wait_too_long_is_refused_at_once():
     """Guards against work that starts when it can't be in time."""
     admission = Admission(FixedLimiter(1))
