Check the coverage while an owner does not know of a domain that is out

Change: the test now checks each answer since the fault. The entries that are well must answer completely; the isolated owner may refuse or miss shards, and the answer has to say so.

--- a/tests/test_domain_out.py
+++ b/tests/test_domain_out.py
@@ -1,4 +1,5 @@
 import time
+from collections import Counter
 
 import pytest
 
@@ -91,6 +92,30 @@
         assert set(outcomes) == {'complete'}, outcomes
 
 
+def check_coverage(load, since):
+    """Check that the entries that are well answered in full.
+
+    The owner itself may refuse or miss shards, but has to say so.
+    """
+    outcomes = Counter()
+    for exchange in load.exchanges:
+        if exchange.started < since:
+            continue
+        answer = exchange.answer
+        outcome = answer['outcome']
+        outcomes[exchange.entry == OWNER, outcome, answer['reason']] += 1
+        if outcome in {'complete', 'partial'}:
+            shards = answer['shards']
+            missing = shards['asked'] - shards['answered']
+            assert len(shards['missing']) == missing
+            assert (outcome == 'complete') == (not missing)
+            assert answer['matches_full'] == (not missing)
+    print(dict(outcomes))
+    bad = [key for key in outcomes if not key[0] and key[1] != 'complete']
+    assert bad == [], outcomes
+    assert sum(outcomes.values()) >= 300
+
+
 @pytest.mark.parametrize('fault', ['freeze', 'isolate'])
 def test_domain_is_out_despite_an_unaware_owner(fault):
     """Guards against an owner that missed the change and feeds the domain.
@@ -99,6 +124,7 @@
     """
     with run_loaded(make_deployment(), proxied=True) as (tier, load):
         names = list_targets(tier)
+        started = time.monotonic()
         if fault == 'freeze':
             load.entries.remove(OWNER)
             tier.instances[OWNER].freeze()
@@ -120,3 +146,5 @@
             load.wait_more(200)
 
         wait_still(tier, names, accepted, recover)
+        load.stop()
+        check_coverage(load, started)
--- a/tools/proofs_targets.py
+++ b/tools/proofs_targets.py
@@ -52,6 +52,14 @@
         'tests/test_domain_out.py'
         '::test_domain_is_out_despite_an_unaware_owner[isolate]',
     ),
+    # Second attempt where an owner replies to none.
+    make_mutation(
+        'shallotgate/query/_extra.py',
+        '        if age_s < STALL_S:\n',
+        '        if age_s >= 0:\n',
+        'tests/test_domain_out.py'
+        '::test_domain_is_out_despite_an_unaware_owner[freeze]',
+    ),
     # Drain that replies show.
     make_mutation(
         'shallotgate/targets/_observation.py',
