--- a/shallotgate/control/tests/test_tier.py
+++ b/shallotgate/control/tests/test_tier.py
@@ -1,4 +1,5 @@
 import time
+import typing
 
 import pytest
 
@@ -6,6 +7,7 @@
 from shallotgate.errors import CommitUnknownError, NoLeaderError
 from shallotgate.generated.messages import (
     ClaimOnce,
+    LeaderCall,
     Learnt,
     MoveOwners,
     Release,
@@ -242,3 +244,15 @@
         control._leases.answer(Delivery('late', 's', 'c-1', age_s, beat))
         sessions = control._sessions.freeze(time.monotonic()).sessions
         assert (('late', 's') in sessions) == is_known
+
+
+def test_leader_serves_every_operation_of_the_schema(tier):
+    """Guards against a call that the schema allows and no leader answers."""
+    tier.group.elect('m1')
+    entry = tier.add('e1', ready=True)
+    assert entry.session.wait_until_ready(5)
+    operations = typing.get_args(typing.get_type_hints(LeaderCall)['operation'])
+    assert 'status' in operations
+    for operation in operations:
+        argument = {'instance': 'm3'} if operation == 'replace_member' else None
+        entry.client.call_leader(operation, argument, 5)
--- a/shallotgate/membership/_client.py
+++ b/shallotgate/membership/_client.py
@@ -32,7 +32,6 @@
     'status',
     'history',
     'quarantine',
-    'snapshots',
     'members',
     'replace_member',
 ]
