--- a/shallotgate/query/tests/tier.py
+++ b/shallotgate/query/tests/tier.py
@@ -367,3 +367,7 @@
 
     def _shards(self):
         return len(self.catalogue.services) - 1
+
+
+def name_replicas(shard):
+    return [f's{shard}-{domain}' for domain in 'xyz']
