Put the support of the tier tests into one package

Cause: tier_kit, control_tier and small_tier each started tiers, changed stand-ins, ran load threads and waited for answers in their own way; four test files had the same fixtures, and the checks of answers stood twice. Change: tests/support has one module for each job, with one class of worker threads and one of query loads under the three kinds of load; tests/conftest.py has the seeds, generators and the scene. TEST_SEED sets the seed everywhere (PROOF_SEED is gone). An error in a worker of any load now fails the test.

--- /dev/null
+++ b/tests/support/_owners.py
@@ -0,0 +1,19 @@
+"""Owners of targets as an entry sees them."""
+
+from testkit.runner import Tier
+
+
+def read_owner(tier: Tier, reader: str, target: str) -> tuple[str, str]:
+    """Return owner and ownership state of a target, empty if it has none."""
+    page = tier.clients.read(reader, '/v1/targets') or {'targets': ()}
+    for row in page['targets']:
+        ownership = row['ownership']
+        if row['target'] == target and ownership:
+            return ownership['instance'], ownership['state']
+    return '', ''
+
+
+def is_owned_by_others(tier: Tier, reader: str, former: str) -> bool:
+    """Return whether all targets are held by entries other than one."""
+    owners = [read_owner(tier, reader, name) for name in tier.targets]
+    return all(state == 'held' and owner != former for owner, state in owners)
--- /dev/null
+++ b/tests/support/_traced.py
@@ -0,0 +1,122 @@
+"""A small tier under load, for the integration tests of targets."""
+
+import random
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from testkit.runner import (
+    CallerPlan,
+    Deployment,
+    InstancePlan,
+    ServicePlan,
+    TargetPlan,
+    Tier,
+    wait_until,
+)
+from tests.support._asking import wait_answered
+from tests.support._limits import LIMIT_S
+from tests.support._load import QueryLoad
+from tests.support._seeds import choose_seed
+
+DOMAINS = ('a', 'b', 'c')
+SLOTS = 3
+# Room for one owner, a frozen former owner whose connections stay open in
+# the system, and the admin calls of the test.
+_CONNECTIONS = 2 * (SLOTS + 1) + 2
+_SERVICE_MS = 25
+_WORKERS = 12
+_ITEMS = 40
+
+
+def make_deployment(cold_ms: float = 0, services: int = 2) -> Deployment:
+    """Return three entries and services of one target in each domain."""
+    return Deployment(
+        region='r',
+        owner='platform',
+        instances=tuple(
+            InstancePlan(f'entry-{domain}', domain, control=True)
+            for domain in DOMAINS
+        ),
+        services=tuple(
+            ServicePlan(
+                name=f'trace-{number}',
+                group='trace',
+                owner='platform',
+                targets=tuple(
+                    TargetPlan(f'trace-{number}-{domain}', domain)
+                    for domain in DOMAINS
+                ),
+                slots=SLOTS,
+                connections=_CONNECTIONS,
+                connect_ms=2,
+                service_ms=_SERVICE_MS,
+                cold_ms=cold_ms,
+                partitions=services,
+                held=(number,),
+            )
+            for number in range(services)
+        ),
+        callers=(CallerPlan('teller', 'platform', 'key', ('find',)),),
+        # Without hedges nothing is cancelled, so that no stand-in can be
+        # late to notice that a slot is free.
+        classes={
+            'find': {'mode': 'coverage', 'deadline_ms': 5000, 'hedge': False},
+        },
+        settings={
+            'abort_on_breach': True,
+            'max_attempt_ms': 1500,
+        },
+    )
+
+
+class TraceLoad(QueryLoad):
+    """Queries for a few items through all entries."""
+
+    def __init__(self, tier: Tier, seed: int) -> None:
+        super().__init__(tier, seed, _WORKERS, _draw_request, (0, 0.005))
+
+    def wait_more(self, count: int) -> None:
+        """Wait for complete answers to queries that are sent from now on."""
+        since = time.monotonic()
+        wait_until(
+            lambda: self.count(since)['complete'] >= count,
+            LIMIT_S,
+            f'{count} further complete answers',
+        )
+
+
+def _draw_request(generator: random.Random) -> dict[str, Any]:
+    return _make_request(generator.randrange(_ITEMS))
+
+
+def _make_request(item: int) -> dict[str, Any]:
+    return {
+        'group': 'trace',
+        'class_name': 'find',
+        'query': {'item': item},
+        'limit': 1000,
+    }
+
+
+@contextmanager
+def run_loaded(
+    deployment: Deployment,
+    **options: Any,
+) -> Iterator[tuple[Tier, TraceLoad]]:
+    """Run a tier whose entries all answer completely, and load on it."""
+    seed = choose_seed()
+    settings = {'seed': seed, **options.pop('settings', {})}
+    with Tier(deployment, settings=settings, **options) as tier:
+        tier.start()
+        wait_answered(tier, tier.instances, _make_request(-1))
+        load = TraceLoad(tier, seed)
+        load.start()
+        try:
+            load.wait_more(200)
+            yield tier, load
+        finally:
+            load.stop()
+        load.check()
+        assert not tier.list_breaches()
--- /dev/null
+++ b/tests/support/_watch.py
@@ -0,0 +1,81 @@
+"""Polls of the configuration that instances have."""
+
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from tests.support._control import is_serving
+from tests.support._limits import BOUND_S, LIMIT_S
+
+_POLL_S = 0.05
+
+
+@dataclass(frozen=True)
+class Sample:
+    """What one instance told at one moment."""
+
+    instance: str
+    # Monotonic time before the first question was sent.
+    asked_at: float
+    # Whether the caller address was ready.
+    ready: bool
+    version: int
+
+
+class Watch:
+    """Polls each instance on a thread of its own.
+
+    Readiness is asked before the version, so an instance that was ready and
+    then tells an old version was ready with an older version or the same.
+    """
+
+    def __init__(self, tier):
+        self._tier = tier
+        self._ended = threading.Event()
+        self.samples = []
+        self._threads = [
+            threading.Thread(target=self._poll, args=(name,), daemon=True)
+            for name in tier.instances
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._ended.set()
+        for thread in self._threads:
+            thread.join(LIMIT_S)
+
+    def _poll(self, name):
+        while not self._ended.wait(_POLL_S):
+            asked_at = time.monotonic()
+            ready = is_serving(self._tier, name)
+            version = self._tier.clients.read_version(name)
+            if version >= 0:
+                sample = Sample(name, asked_at, ready, version)
+                self.samples.append(sample)
+
+    def list_faults(self, version, accepted_at):
+        """Return each sample that breaks G10 for an accepted version."""
+        late = [
+            sample
+            for sample in self.samples
+            if sample.ready
+            and sample.version < version
+            and sample.asked_at > accepted_at + BOUND_S
+        ]
+        return late + list(self._list_reverts())
+
+    def _list_reverts(self):
+        highest = Counter()
+        for sample in self.samples:
+            # A process that has just started has no catalogue yet.
+            if 0 < sample.version < highest[sample.instance]:
+                yield sample
+            highest[sample.instance] = max(
+                highest[sample.instance],
+                sample.version,
+            )
--- /dev/null
+++ b/tests/support/_workers.py
@@ -0,0 +1,61 @@
+"""Threads that repeat a step."""
+
+import random
+import threading
+from collections.abc import Callable
+from typing import Self
+
+
+class Workers:
+    """Threads that repeat a step with pauses until they are stopped."""
+
+    def __init__(
+        self,
+        step: Callable[[random.Random], None],
+        seed: int,
+        count: int,
+        pauses_s: tuple[float, float] = (0, 0),
+    ) -> None:
+        self.errors: list[str] = []
+        self._step = step
+        self._pauses_s = pauses_s
+        self._ended = threading.Event()
+        self._threads = [
+            threading.Thread(
+                target=self._repeat,
+                args=(random.Random(f'{seed}-{number}'),),
+                daemon=True,
+            )
+            for number in range(count)
+        ]
+
+    def __enter__(self) -> Self:
+        self.start()
+        return self
+
+    def __exit__(self, kind: object, *_: object) -> None:
+        self.stop()
+        if kind is None:
+            self.check()
+
+    def start(self) -> None:
+        """Start all threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop and wait for the steps under way."""
+        self._ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def check(self) -> None:
+        """Check that no step raised an error."""
+        assert self.errors == []
+
+    def _repeat(self, generator: random.Random) -> None:
+        while not self._ended.wait(generator.uniform(*self._pauses_s)):
+            try:
+                self._step(generator)
+            except Exception as error:
+                self.errors.append(repr(error))
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,7 +6,12 @@
 
 from shallotgate.cli import make_dated_id
 from testkit.runner import wait_until
-from tests.tier_kit import LABELS, LIMIT_S, make_random, run_scene
+from tests.support import (
+    LABELS,
+    LIMIT_S,
+    make_random,
+    run_scene,
+)
 
 KEYS = 12
 # Longer than the deadline of the request.
@@ -15,17 +20,11 @@
 
 
 @pytest.fixture(scope='module')
-def running():
+def running_scene():
     with run_scene(once_services=1) as scene:
         yield scene
 
 
-@pytest.fixture
-def scene(running):
-    running.restore()
-    return running
-
-
 def run_once(scene, entry, key, content=1, **fields):
     """Send a once-only request; None if the connection broke."""
     return scene.ask(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,3 @@
-import random
 import re
 import socket
 import threading
@@ -10,18 +9,19 @@
 from shallotgate.codec import encode_json
 from testkit.proxy import Fault
 from testkit.runner import OPERATOR_TOKENS, wait_until
-from tests.control_tier import (
-    IN_FORCE_S,
+from tests.support import (
+    BOUND_S,
     LIMIT_S,
     Watch,
     add_domain,
+    ask,
     choose_seed,
     find_leader,
     is_serving,
     list_members,
     make_change,
+    make_query,
     make_tier,
-    query,
     recover,
     send_change,
     wait_complete,
@@ -29,7 +29,7 @@
 
 CHANGES = 300
 # Longer than the lease of 4 s and than the bound of G10.
-SILENCE_S = IN_FORCE_S + 1
+SILENCE_S = BOUND_S + 1
 # Enough for heartbeats; the update of the test takes several seconds.
 SLOW_BYTES_PER_S = 4000
 SLOW_S = 3
@@ -51,11 +51,6 @@
     assert running.list_breaches() == []
 
 
-@pytest.fixture
-def generator():
-    return random.Random(choose_seed())
-
-
 def choose_name(generator):
     return f'spare-{generator.randrange(10**9)}'
 
@@ -65,7 +60,7 @@
     tier.clients.wait_version(version, names, LIMIT_S)
     took_s = time.monotonic() - accepted_at
     print(f'version {version} in force after {took_s:.2f} s')
-    assert took_s < IN_FORCE_S
+    assert took_s < BOUND_S
     assert watch.list_faults(version, accepted_at) == []
 
 
@@ -143,7 +138,7 @@
         senders = [
             threading.Thread(
                 target=lambda item=item: answers.append(
-                    query(tier, frozen, item)
+                    ask(tier, frozen, make_query(item))
                 ),
             )
             for item in range(20)
@@ -251,7 +246,7 @@
             assert [one['name'] for one in reply.content['differences']] == (
                 winners
             )
-    tier.clients.wait_version(base + 1, tier.instances, IN_FORCE_S)
+    tier.clients.wait_version(base + 1, tier.instances, BOUND_S)
     domains = tier.clients.read(entries[0], '/v1/domains')
     assert set(names) & set(domains) == set(winners)
 
@@ -313,7 +308,7 @@
         assert reply.status == 200, reply
     kill_all(tier)
     # From now on every ready instance must have all of them.
-    due_at = time.monotonic() - IN_FORCE_S
+    due_at = time.monotonic() - BOUND_S
     with Watch(tier) as watch:
         recover(tier)
         version = base + CHANGES
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,25 +3,22 @@
 import dataclasses
 import itertools
 import os
-import random
 import signal
 import threading
 import time
 from collections import Counter
 
 import pytest
-import urllib3
 
-from shallotgate.cli import ServerUnreachableError, UnknownOutcomeError
-from shallotgate.codec import encode_json
 from shallotgate.generated.answers import QueryRequest
 from shallotgate.query import encode_content
 from testkit.deployments import make_small_clearing
 from testkit.runner import Tier, wait_until
+from tests.support import Workers, change_target, make_random
+from tests.support import ask as ask_entry
 
 GROUP = 'tracedesk'
 CLASS = 'teller'
-CALLER = 'tellers'
 PAGE = '/v1/quarantine'
 DOMAIN = 'bc-lower-b'
 LIMIT_S = 90
@@ -37,9 +34,7 @@
 
 @pytest.fixture
 def rng():
-    seed = random.randrange(2**32)
-    print(f'seed {seed}')
-    return random.Random(seed)
+    return make_random()
 
 
 @pytest.fixture
@@ -59,11 +54,8 @@
 
 def ask(tier, entry, query):
     request = {'group': GROUP, 'class_name': CLASS, 'query': query}
-    client = tier.clients.caller(entry, CALLER)
-    try:
-        return client.call('POST', '/v1/query', request).content
-    except (ServerUnreachableError, UnknownOutcomeError) as error:
-        return {'outcome': 'none', 'reason': str(error)}
+    answer = ask_entry(tier, entry, request)
+    return answer or {'outcome': 'none', 'reason': 'broken connection'}
 
 
 def make_digest(query):
@@ -95,45 +87,30 @@
     return {one['digest']: one['status'] for one in pages[0]}
 
 
-class Load:
+class Load(Workers):
     """Workers that resend each innocent query until it is complete."""
 
     def __init__(self, tier, rng):
+        super().__init__(self._work, rng.getrandbits(32), WORKERS)
         self.outcomes = Counter()
         self.unanswered = []
         self._tier = tier
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(
-                target=self._work,
-                args=(random.Random(rng.random()),),
-            )
-            for _ in range(WORKERS)
-        ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
 
-    def __exit__(self, *_error):
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
+    def stop(self):
+        super().stop()
         print(dict(self.outcomes))
 
     def count_complete(self):
         return self.outcomes['complete', '']
 
     def _work(self, rng):
-        while not self._stopped.is_set():
-            query = {'item': rng.randrange(ITEMS)}
-            give_up_at = time.monotonic() + LIMIT_S
-            while not self._is_complete(rng, query):
-                if time.monotonic() > give_up_at:
-                    self.unanswered.append(query)
-                    return
-                time.sleep(0.05)
+        query = {'item': rng.randrange(ITEMS)}
+        give_up_at = time.monotonic() + LIMIT_S
+        while not self._is_complete(rng, query):
+            if time.monotonic() > give_up_at:
+                self.unanswered.append(query)
+                return
+            time.sleep(0.05)
 
     def _is_complete(self, rng, query):
         entry = rng.choice(list(self._tier.instances))
@@ -176,14 +153,7 @@
 
 def stop_crashing(tier):
     for name in tier.targets:
-        urllib3.request(
-            'POST',
-            f'http://{tier.layout.listen_addresses[name]}/v1/admin',
-            body=encode_json({'crash_on_content': False}),
-            headers={'Connection': 'close'},
-            timeout=LIMIT_S,
-            retries=False,
-        )
+        change_target(tier, name, crash_on_content=False)
 
 
 def test_crashing_request_costs_two_targets_in_the_tier(tier, rng):
--- a/tests/test_domain_out.py
+++ b/tests/test_domain_out.py
@@ -3,7 +3,7 @@
 import pytest
 
 from testkit.runner import wait_until
-from tests.small_tier import (
+from tests.support import (
     LIMIT_S,
     change_target,
     make_deployment,
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -2,13 +2,10 @@
 import threading
 import time
 
-import pytest
-
 from testkit.runner import wait_until
-from tests.control_tier import (
+from tests.support import (
     LIMIT_S,
     SteadyLoad,
-    choose_seed,
     find_leader,
     is_serving,
     make_tier,
@@ -64,11 +61,6 @@
             self._history.append((time.monotonic(), ready))
 
 
-@pytest.fixture
-def seed():
-    return choose_seed()
-
-
 def list_owned(tier, reader, owner):
     """Return the targets of an owner as another instance sees it."""
     page = tier.clients.read(reader, '/v1/targets')
--- a/tests/test_leader_lost.py
+++ b/tests/test_leader_lost.py
@@ -1,10 +1,9 @@
 import pytest
 
 from testkit.runner import wait_until
-from tests.control_tier import (
+from tests.support import (
     LIMIT_S,
     SteadyLoad,
-    choose_seed,
     find_leader,
     is_serving,
     make_tier,
@@ -14,11 +13,6 @@
 ANSWERS = 150
 
 
-@pytest.fixture
-def seed():
-    return choose_seed()
-
-
 @pytest.fixture
 def tier(seed):
     with make_tier(seed) as tier:
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from tests.small_tier import (
+from tests.support import (
     BOUND_S,
     DOMAINS,
     SLOTS,
-    Load,
+    TraceLoad,
     change_target,
     make_deployment,
     run_loaded,
@@ -89,7 +89,7 @@
         change_target(tier, LEAVING, draining=True, reset=True)
         since = time.monotonic()
         time.sleep(BOUND_S)
-        again = Load(tier, seed=load.seed + 1)
+        again = TraceLoad(tier, seed=load.seed + 1)
         again.start()
         check_left(tier, again, since)
         assert change_target(tier, LEAVING)['draining'] == 0
--- a/tests/test_lost_disk.py
+++ b/tests/test_lost_disk.py
@@ -1,4 +1,3 @@
-import random
 import subprocess
 import sys
 import threading
@@ -8,11 +7,10 @@
 import pytest
 
 from testkit.runner import OPERATOR_TOKENS, wait_until
-from tests.control_tier import (
+from tests.support import (
     LIMIT_S,
     NO_REPLY,
     add_domain,
-    choose_seed,
     find_leader,
     is_serving,
     list_members,
@@ -28,11 +26,6 @@
 SILENCE_S = 8
 
 
-@pytest.fixture
-def generator():
-    return random.Random(choose_seed())
-
-
 @pytest.fixture
 def tier(generator):
     with make_tier(generator.randrange(10**6)) as tier:
--- a/tests/test_one_snapshot.py
+++ b/tests/test_one_snapshot.py
@@ -3,14 +3,14 @@
 import pytest
 
 from testkit.runner import wait_until
-from tests.tier_kit import (
+from tests.support import (
     LIMIT_S,
     PARTITIONS,
     Load,
+    check_answers,
     find_faults,
     list_matches,
     make_random,
-    run_scene,
     sort_ids,
 )
 
@@ -19,29 +19,6 @@
 ANSWERS = 20
 
 
-@pytest.fixture(scope='module')
-def running():
-    with run_scene() as scene:
-        yield scene
-
-
-@pytest.fixture
-def scene(running):
-    running.restore()
-    return running
-
-
-def check_answers(scene, answers):
-    """Return the answers after checking each."""
-    found = [(query, answer) for query, answer in answers if answer]
-    faults = [
-        (find_faults(query, answer, scene.partitions), query, answer)
-        for query, answer in found
-    ]
-    assert [fault for fault in faults if fault[0]] == []
-    return [answer for _, answer in found]
-
-
 def split(version):
     """Return the next version with twice or half the partitions."""
     number = version['index_version'] + 1
--- a/tests/test_own_answer.py
+++ b/tests/test_own_answer.py
@@ -4,13 +4,12 @@
 
 from shallotgate.cli import UnknownOutcomeError
 from testkit.runner import wait_until
-from tests.tier_kit import (
+from tests.support import (
     LIMIT_S,
     PARTITIONS,
     Load,
-    find_faults,
+    check_answers,
     make_random,
-    run_scene,
 )
 
 WORKERS = 12
@@ -19,27 +18,9 @@
 ANSWERS = 40
 
 
-@pytest.fixture(scope='module')
-def running():
-    with run_scene() as scene:
-        yield scene
-
-
-@pytest.fixture
-def scene(running):
-    running.restore()
-    return running
-
-
 def check_own(scene, load):
     """Return the answers after checking that each is its caller's own."""
-    found = [(query, answer) for query, answer in load.answers if answer]
-    faults = [
-        (find_faults(query, answer, scene.partitions), query, answer)
-        for query, answer in found
-    ]
-    assert [fault for fault in faults if fault[0]] == []
-    answers = [answer for _, answer in found]
+    answers = check_answers(scene, load.answers)
     assert len({one['request_id'] for one in answers}) == len(answers)
     # No entry was disturbed, so every caller is answered.
     assert len(answers) == len(load.answers)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -1,7 +1,7 @@
 import pytest
 
 from testkit.runner import wait_until
-from tests.small_tier import (
+from tests.support import (
     LIMIT_S,
     change_target,
     check_limits,
--- a/tests/test_true_refusals.py
+++ b/tests/test_true_refusals.py
@@ -6,7 +6,11 @@
 import pytest
 
 from testkit.runner import wait_until
-from tests.tier_kit import LIMIT_S, Load, make_random, run_scene
+from tests.support import (
+    LIMIT_S,
+    Load,
+    make_random,
+)
 
 ANSWERS = 30
 # Entries refuse this long after the majority was lost.
@@ -15,18 +19,6 @@
 BURST = 160
 
 
-@pytest.fixture(scope='module')
-def running():
-    with run_scene() as scene:
-        yield scene
-
-
-@pytest.fixture
-def scene(running):
-    running.restore()
-    return running
-
-
 def check_refusals(scene, answers):
     """Check that no refused request was run; return answers by outcome."""
     ran = scene.sum_counts('ran_requests')
