--- a/tests/test_domain_out.py
+++ b/tests/test_domain_out.py
@@ -4,7 +4,7 @@
 import pytest
 
 from testkit.runner import wait_until
-from tests.small_tier import (
+from tests.support import (
     LIMIT_S,
     change_target,
     make_deployment,
--- a/tests/test_lost_disk.py
+++ b/tests/test_lost_disk.py
@@ -1,15 +1,13 @@
-import random
 import threading
 import time
 
 import pytest
 
 from testkit.runner import wait_until
-from tests.control_tier import (
+from tests.support import (
     LIMIT_S,
     NO_REPLY,
     add_domain,
-    choose_seed,
     find_leader,
     is_serving,
     list_members,
@@ -26,11 +24,6 @@
 SILENCE_S = 8
 
 
-@pytest.fixture
-def generator():
-    return random.Random(choose_seed())
-
-
 @pytest.fixture
 def tier(generator):
     with make_tier(generator.randrange(10**6)) as tier:
--- a/tests/test_true_refusals.py
+++ b/tests/test_true_refusals.py
@@ -7,7 +7,11 @@
 import pytest
 
 from testkit.runner import wait_until
-from tests.tier_kit import LIMIT_S, Load, make_random, run_scene
+from tests.support import (
+    LIMIT_S,
+    Load,
+    make_random,
+)
 
 ANSWERS = 30
 # Entries refuse this long after the majority was lost.
@@ -17,18 +21,6 @@
 BURST = 160
 
 
-@pytest.fixture(scope='module')
-def running():
-    with run_scene() as scene:
-        yield scene
-
-
-@pytest.fixture
-def scene(running):
-    running.restore()
-    return running
-
-
 def check_refusals(scene, answers):
     """Check that no refused request was run; return answers by outcome."""
     ran = scene.sum_counts('ran_requests')
