Let replies refute a drain that only a report claims

Cause: a drain in a report took effect at once. Where no attempt was in flight that could refute a false one, the target got no work for as long as its report claimed the drain.

A reply refutes it, a refusal as draining confirms it at once. A target that was not observed before gets no such time. After that nothing is sent to find out: tests/test_leaving_targets.py demands that a target that truly leaves is not even asked.

--- a/shallotgate/targets/_core.py
+++ b/shallotgate/targets/_core.py
@@ -91,11 +91,12 @@
         """Return why an attempt may not be sent, or an empty string."""
         if self.is_closing:
             return 'not_owner'
-        if time.monotonic() >= work.deadline:
+        now = time.monotonic()
+        if now >= work.deadline:
             return 'late'
         if self.is_lost:
             return 'unreachable'
-        if self.is_leaving or self.seen.draining:
+        if self.is_leaving or self.seen.is_draining(now):
             return 'draining'
         return self._gate.refuse(self.target, work.attempt)
 
@@ -176,6 +177,7 @@
     def make_state(self) -> TargetState:
         """Return what entries are told of the target."""
         limiter = self.limiter
+        now = time.monotonic()
         return TargetState(
             target=self.target.name,
             epoch=self.epoch,
@@ -185,9 +187,9 @@
             queue_ms=self._estimate_wait_ms(),
             latency_ms=limiter.latency_ms,
             cold=limiter.is_cold,
-            draining=self.is_leaving or self.seen.draining,
+            draining=self.is_leaving or self.seen.is_draining(now),
             lost=self.is_lost,
-            versions=self.seen.list_versions(time.monotonic()),
+            versions=self.seen.list_versions(now),
         )
 
     def make_learnt(self) -> Learnt | None:
--- a/shallotgate/targets/tests/test_limiter.py
+++ b/shallotgate/targets/tests/test_limiter.py
@@ -230,6 +230,40 @@
     assert seen.draining
 
 
+def test_drain_claimed_by_a_report_can_be_refuted_in_time():
+    """Guards against an idle target that a false report takes out at once."""
+    seen = Observation()
+    seen.see_report(make_report(1000), 0)
+    seen.see_report(make_report(2000, draining=True), 1)
+    assert not seen.is_draining(2.9)
+    seen.see_reply(make_report(3900), 2.9)
+    assert not seen.is_draining(60)
+
+
+def test_drain_claimed_by_a_report_takes_effect_without_replies():
+    """Guards against work for a leaving target 5 s after its drain began."""
+    seen = Observation()
+    seen.see_report(make_report(1000), 0)
+    seen.see_report(make_report(2000, draining=True), 1)
+    assert seen.is_draining(3)
+    # Not observed for longer: the drain may have begun long ago.
+    seen.see_report(make_report(5000), 4)
+    seen.see_report(make_report(8500, draining=True), 7.5)
+    assert seen.is_draining(7.5)
+    unknown = Observation()
+    unknown.see_report(make_report(1000, draining=True), 0)
+    assert unknown.is_draining(0)
+
+
+def test_refusal_confirms_a_claimed_drain_at_once():
+    """Guards against further attempts while a claim is being confirmed."""
+    seen = Observation()
+    seen.see_report(make_report(1000), 0)
+    seen.see_report(make_report(2000, draining=True), 1)
+    seen.see_reply(make_report(2100, draining=True), 1.1)
+    assert seen.is_draining(1.1)
+
+
 def test_lagging_report_is_no_restart():
     """Guards against a drain forgotten because a report lags for long."""
     seen = Observation()
--- a/shallotgate/targets/tests/test_owned.py
+++ b/shallotgate/targets/tests/test_owned.py
@@ -128,6 +128,20 @@
     assert len(rig.edge.started) == started
 
 
+def test_false_claim_of_a_drain_does_not_idle_a_target(make_rig):
+    """Guards against an idle target that its report takes out for good."""
+    rig = make_rig()
+    assert rig.run().status == 'ok'
+    rig.edge.report_lie = {'draining': True}
+    claims = rig.owned._pools.get('t').core.seen
+    wait_until(lambda: claims.draining, 'the claim')
+    assert rig.run().status == 'ok'
+    until = time.monotonic() + 3
+    while time.monotonic() < until:
+        assert rig.run().status == 'ok'
+        time.sleep(0.1)
+
+
 @pytest.mark.parametrize('source', ['report', 'platform'])
 def test_drain_seen_elsewhere_stops_dispatch(make_rig, source):
     """Guards against work between the drain and the first refusal."""
