Test a falsely claimed drain apart from the preference for warm targets

Cause: test_report_that_claims_a_drain_is_not_believed demanded work for the target within 300 answers. Its stall and its service time of 100 ms leave it cold and four times as slow as its replicas. A trace shows the claim refuted after 0.1 s and the target then chosen once in 4 s, so that the test judged the preference of the entries rather than the drain.

Change: the test checks on all entries that no target is told to be draining, after the bound and again at the end, and waits for further work. The report lies to the end, so that a target idled by it never gets any.

Conclusion: the drain is now checked directly and in more places.

--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from testkit.runner import wait_until
 from tests.small_tier import (
     BOUND_S,
     DOMAINS,
+    LIMIT_S,
     SLOTS,
     Load,
     change_target,
@@ -75,6 +77,16 @@
     assert set(outcomes) == {'complete'}, outcomes
 
 
+def list_draining(tier):
+    """Return entries and targets that they are told to be draining."""
+    return [
+        (entry, row['target'])
+        for entry in tier.instances
+        for row in tier.clients.read(entry, '/v1/targets')['targets']
+        if row['state']['draining']
+    ]
+
+
 def test_drain_is_learnt_from_replies_alone():
     """Guards against a lagging report that takes back what replies said."""
     with run_loaded(make_deployment()) as (tier, load):
@@ -144,4 +156,11 @@
         time.sleep(BOUND_S)
         first = change_target(tier, LEAVING)['ran']
         load.wait_more(300)
-        assert change_target(tier, LEAVING)['ran'] > first
+        assert not list_draining(tier)
+        # It is cold and slow by now, so that entries seldom choose it.
+        wait_until(
+            lambda: change_target(tier, LEAVING)['ran'] > first,
+            LIMIT_S,
+            f'further work for {LEAVING}',
+        )
+        assert not list_draining(tier)
