Check a catalogue change against what it touches

Cause: each change checked all callers, classes, services and targets again, looked for repeated names and addresses in all of them, and copied all kinds.

Change: References keeps who holds each unique value and who names each class and domain. A change is checked by its own entries and by those that name what it removes. Only edited kinds are copied. A change with a fault still goes through the whole catalogue, so that its findings name all places as before.

What is left that grows is the copy of the mapping of services.

The new test of touched entries fails before the change (50 targets checked instead of 2). A property test compares verdicts and indexes with a check of the whole catalogue over random changes.

--- a/shallotgate/state/_catalogue.py
+++ b/shallotgate/state/_catalogue.py
@@ -24,6 +24,7 @@
     parse_change,
 )
 from shallotgate.state._recent import RecentChanges
+from shallotgate.state._references import References
 from shallotgate.state._verdicts import (
     KeptVerdict,
     VerdictContent,
@@ -60,6 +61,7 @@
         self.recent: RecentChanges[tuple[str, str]] = RecentChanges()
         self._history: deque[HistoryRecord] = deque(maxlen=HISTORY_LIMIT)
         self._verdicts = VerdictTable()
+        self._references = References()
         self._encoded: tuple[int, bytes] = (-1, b'')
 
     def change(self, command: ChangeCatalogue, now: float) -> Verdict:
@@ -120,6 +122,7 @@
         """Take over a snapshot."""
         self.published = content.catalogue
         self.recent.clear(content.catalogue.version)
+        self._references.load(content.catalogue)
         self._history = deque(content.history, maxlen=HISTORY_LIMIT)
         self._verdicts.load(content.verdicts)
 
@@ -157,7 +160,7 @@
         now: float,
     ) -> Verdict:
         edits = request.content.get('edits')
-        draft = Draft(self.published, request.author)
+        draft = Draft(self.published, request.author, self._references)
         try:
             draft.edit_all(edits if isinstance(edits, list) else [])
             edited = draft.finish(findings)
@@ -178,6 +181,11 @@
         now: float,
     ) -> Verdict:
         differences = draft.list_differences()
+        self._references.update(
+            draft.list_touched(),
+            self.published,
+            edited,
+        )
         self.published = edited
         self.recent.note(
             edited.version,
--- a/shallotgate/state/_changes.py
+++ b/shallotgate/state/_changes.py
@@ -1,7 +1,7 @@
 """Judgement of one catalogue change, without a memory of its own."""
 
 import re
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from itertools import chain
 from typing import Any
@@ -17,6 +17,7 @@
     Edit,
 )
 from shallotgate.state._crosschecks import CrossFault, list_cross_faults
+from shallotgate.state._references import EntryKey, References
 from shallotgate.state._schema import DEFINITIONS, list_findings
 
 _MAX_CHANGE_BYTES = 4 * 1024 * 1024
@@ -99,16 +100,26 @@
 
 
 class Draft:
-    """A copy of the catalogue on which edits are tried in their order."""
+    """Edits that are tried in their order on a catalogue.
 
-    def __init__(self, catalogue: Catalogue, author: Author) -> None:
+    Only the kinds that are edited are copied.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        author: Author,
+        references: References,
+    ) -> None:
         self._base = catalogue
         self._author = author
-        self._kinds: dict[str, dict[str, Any]] = {
-            kind: dict(getattr(catalogue, kind)) for kind in DEFINITIONS
+        self._references = references
+        self._kinds: dict[str, Mapping[str, Any]] = {
+            kind: getattr(catalogue, kind) for kind in DEFINITIONS
         }
+        self._copies: dict[str, dict[str, Any]] = {}
         # Position of the last edit of each entry.
-        self._positions: dict[tuple[str, str], int] = {}
+        self._positions: dict[EntryKey, int] = {}
         self._findings: list[ChangeFinding] = []
         self._forbidden = False
 
@@ -125,7 +136,7 @@
             self._positions[edit.kind, edit.name] = position
             if edit.op == 'put':
                 self._put(edit, path)
-            elif self._kinds[edit.kind].pop(edit.name, None) is None:
+            elif self._copy_kind(edit.kind).pop(edit.name, None) is None:
                 self._note(f'{path}/name', 'no such entry to remove')
 
     def finish(self, former: Sequence[ChangeFinding]) -> Catalogue:
@@ -136,12 +147,14 @@
         edited = replace(
             self._base,
             version=self._base.version + 1,
-            **self._kinds,
-        )
-        self._findings.extend(
-            ChangeFinding(path=self._locate(fault), reason=fault.reason)
-            for fault in list_cross_faults(edited)
+            **self._copies,
         )
+        if not self._references.is_sound(self._positions, self._kinds):
+            # Findings name all places, so that the whole is gone through.
+            self._findings.extend(
+                ChangeFinding(path=self._locate(fault), reason=fault.reason)
+                for fault in list_cross_faults(edited)
+            )
         if former or self._findings:
             raise ChangeError(
                 (*former, *self._findings),
@@ -149,6 +162,10 @@
             )
         return edited
 
+    def list_touched(self) -> Collection[EntryKey]:
+        """Return kind and name of each entry that was edited."""
+        return self._positions.keys()
+
     def list_differences(self) -> tuple[Difference, ...]:
         """Return what the edits changed, in the order of the edits."""
         found = []
@@ -186,7 +203,13 @@
             # For instance 2.0, an integer for JSON Schema only.
             self._note(f'{path}/spec', str(error))
             return
-        self._kinds[edit.kind][edit.name] = entry
+        self._copy_kind(edit.kind)[edit.name] = entry
+
+    def _copy_kind(self, kind: str) -> dict[str, Any]:
+        if kind not in self._copies:
+            self._copies[kind] = dict(self._kinds[kind])
+            self._kinds[kind] = self._copies[kind]
+        return self._copies[kind]
 
     def _note(self, path: str, reason: str) -> None:
         self._findings.append(ChangeFinding(path=path, reason=reason))
--- a/shallotgate/state/_crosschecks.py
+++ b/shallotgate/state/_crosschecks.py
@@ -1,10 +1,17 @@
 """Checks of a whole catalogue that a schema can't express."""
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
+from typing import Any
 
-from shallotgate.generated.catalogue import Catalogue, Target
+from shallotgate.generated.catalogue import (
+    Caller,
+    Catalogue,
+    ClassPolicy,
+    Service,
+    Target,
+)
 
 _MAX_PORT = 65535
 # Field and its text.
@@ -33,57 +40,88 @@
     The whole catalogue is checked, not only the changed entries, because a
     removal can break entries that stay.
     """
-    yield from _check_callers(catalogue)
-    yield from _check_classes(catalogue)
-    yield from _check_targets(catalogue)
+    kinds = {
+        'callers': catalogue.callers,
+        'classes': catalogue.classes,
+        'services': catalogue.services,
+        'domains': catalogue.domains,
+    }
+    first_by_key: dict[str, str] = {}
+    for caller_name, caller in catalogue.callers.items():
+        first = first_by_key.setdefault(caller.key_sha256, caller_name)
+        if first != caller_name:
+            reason = f'same key as caller {first!r}'
+            yield CrossFault('callers', caller_name, 'key_sha256', reason)
+        yield from list_entry_faults('callers', caller_name, caller, kinds)
+    for kind in ('classes', 'services'):
+        for name, entry in kinds[kind].items():
+            yield from list_entry_faults(kind, name, entry, kinds)
     yield from _check_repeated_targets(catalogue)
 
 
-def _check_callers(catalogue: Catalogue) -> Iterator[CrossFault]:
-    first_by_key: dict[str, str] = {}
-    for name, caller in catalogue.callers.items():
-        first = first_by_key.setdefault(caller.key_sha256, name)
-        if first != name:
-            reason = f'same key as caller {first!r}'
-            yield CrossFault('callers', name, 'key_sha256', reason)
-        for position, class_name in enumerate(caller.classes):
-            if class_name not in catalogue.classes:
-                yield CrossFault(
-                    'callers',
-                    name,
-                    f'classes/{position}',
-                    f'unknown class {class_name!r}',
-                    ('classes', class_name),
-                )
-
-
-def _check_classes(catalogue: Catalogue) -> Iterator[CrossFault]:
-    for name, policy in catalogue.classes.items():
-        is_late = policy.soft_limit_ms > policy.deadline_ms
-        if policy.mode == 'latency' and is_late:
+def list_entry_faults(
+    kind: str,
+    name: str,
+    entry: Any,
+    kinds: Mapping[str, Mapping[str, Any]],
+) -> Iterator[CrossFault]:
+    """Yield the faults of one entry, but for values that must be unique.
+
+    ``kinds`` are the entries of the catalogue by kind and name.
+    """
+    if kind == 'callers':
+        yield from _check_caller(name, entry, kinds['classes'])
+    elif kind == 'classes':
+        yield from _check_class(name, entry)
+    elif kind == 'services':
+        yield from _check_service(name, entry, kinds['domains'])
+
+
+def _check_caller(
+    name: str,
+    caller: Caller,
+    classes: Collection[str],
+) -> Iterator[CrossFault]:
+    for position, class_name in enumerate(caller.classes):
+        if class_name not in classes:
             yield CrossFault(
-                'classes',
+                'callers',
                 name,
-                'soft_limit_ms',
-                f'{policy.soft_limit_ms} is more than the deadline of '
-                + f'{policy.deadline_ms} ms',
+                f'classes/{position}',
+                f'unknown class {class_name!r}',
+                ('classes', class_name),
             )
 
 
-def _check_targets(catalogue: Catalogue) -> Iterator[CrossFault]:
-    for name, service in catalogue.services.items():
-        for position, target in enumerate(service.targets):
-            if target.domain not in catalogue.domains:
-                yield CrossFault(
-                    'services',
-                    name,
-                    f'targets/{position}/domain',
-                    f'unknown domain {target.domain!r}',
-                    ('domains', target.domain),
-                )
-            for field, reason in _check_target(target):
-                path = f'targets/{position}/{field}'
-                yield CrossFault('services', name, path, reason)
+def _check_class(name: str, policy: ClassPolicy) -> Iterator[CrossFault]:
+    is_late = policy.soft_limit_ms > policy.deadline_ms
+    if policy.mode == 'latency' and is_late:
+        yield CrossFault(
+            'classes',
+            name,
+            'soft_limit_ms',
+            f'{policy.soft_limit_ms} is more than the deadline of '
+            + f'{policy.deadline_ms} ms',
+        )
+
+
+def _check_service(
+    name: str,
+    service: Service,
+    domains: Collection[str],
+) -> Iterator[CrossFault]:
+    for position, target in enumerate(service.targets):
+        if target.domain not in domains:
+            yield CrossFault(
+                'services',
+                name,
+                f'targets/{position}/domain',
+                f'unknown domain {target.domain!r}',
+                ('domains', target.domain),
+            )
+        for field, reason in _check_target(target):
+            path = f'targets/{position}/{field}'
+            yield CrossFault('services', name, path, reason)
 
 
 def _check_target(target: Target) -> Iterator[tuple[str, str]]:
