Resume the replacement of a member after a lost leader

Cause: a replacement is two records, one that takes the vote from the former identity and one that gives it to the new one. When the leader was lost or the call timed out between them, the member stayed without a vote until an operator repeated the call.

Change: a leader finishes a replacement whose first record is in its log, once the member has caught up. Calls of operators go first. A member that has lost its disk again has another identity and waits for an operator.

The tests with the leader cut off, and with the call broken off, right after the first record fail before the change: the member has no vote after 10 s.

--- a/shallotgate/consensus/_changes.py
+++ b/shallotgate/consensus/_changes.py
@@ -13,10 +13,12 @@
     ConsensusError,
     NotLeaderError,
 )
-from shallotgate.generated.messages import TimeoutNow
+from shallotgate.generated.messages import MemberIdentity, TimeoutNow
 from shallotgate.logs import get_logger
 
 _LOGGER = get_logger('consensus')
+# Time for one attempt to finish a replacement, and between two.
+_RESUME_S = 1.0
 
 
 class Changes:
@@ -42,6 +44,22 @@
         finally:
             self._lock.release()
 
+    def follow_leadership(self, is_leading: bool) -> None:
+        """Begin to resume replacements when this member leads.
+
+        The leader that began one may be lost between its two records.
+        """
+        with self._core.changed:
+            leadership = self._core.leadership
+        if not is_leading or leadership is None:
+            return
+        threading.Thread(
+            target=self._resume,
+            args=(leadership,),
+            name='resume-replacement',
+            daemon=True,
+        ).start()
+
     def transfer(self, timeout_s: float) -> bool:
         """Hand leadership to the follower that is furthest."""
         core = self._core
@@ -78,6 +96,47 @@
             deadline,
         )
 
+    def _resume(self, leadership: Leadership) -> None:
+        """Finish replacements until the end of a leadership."""
+        core = self._core
+        while not leadership.is_closed:
+            deadline = time.monotonic() + _RESUME_S
+            member = self._find_unfinished()
+            # A call of an operator goes first.
+            if member is not None and self._lock.acquire(blocking=False):
+                try:
+                    self._try_finish(leadership, member, deadline)
+                finally:
+                    self._lock.release()
+            core.wait_until(partial(getattr, leadership, 'is_closed'), deadline)
+
+    def _find_unfinished(self) -> MemberIdentity | None:
+        with self._core.changed:
+            members = self._core.journal.group.members
+        return next((one for one in members if not one.voter), None)
+
+    def _try_finish(
+        self,
+        leadership: Leadership,
+        member: MemberIdentity,
+        deadline: float,
+    ) -> None:
+        instance = member.instance
+        try:
+            identity = self._await_caught_up(leadership, instance, deadline)
+            # A member whose disk was lost again needs an operator's word.
+            if identity == member.identity:
+                deadline += _RESUME_S
+                self._commit(leadership, instance, identity, True, deadline)
+        except ConsensusError as error:
+            _LOGGER.info('A replacement is not finished yet: %s.', error)
+            return
+        if identity == member.identity:
+            _LOGGER.info(
+                'Replacement of a member resumed.',
+                extra={'member': instance, 'identity': identity},
+            )
+
     def _end(self, leadership: Leadership) -> None:
         if self._core.leadership is leadership:
             self._core.step_down()
--- a/shallotgate/consensus/_replicated_log.py
+++ b/shallotgate/consensus/_replicated_log.py
@@ -54,6 +54,7 @@
         self._core = Core(instance, mailbox, self._folder, times)
         self._leader = Leader(self._core)
         self._changes = Changes(self._core, self._leader)
+        self._core.notifier.subscribe(self._changes.follow_leadership)
         self._elector = Elector(self._core, self._leader.begin)
         self._follower = Follower(self._core)
         self._founding = Founding(self._core, members, bootstrap=bootstrap)
