Bound the bytes of recorded answers

Cause: the table of at-most-once keys was bounded to 200,000 records, but an answer in it could be of any size, so that some large answers filled the memory of each control member.

Change: an answer is kept up to 64 KiB. An entry records a larger one without its matches and says so in a finding; the state machine keeps none that is larger. The keys, digests, claims and answers of all records take 64 MiB at most; beyond that the oldest keys are dropped and the floor rises, so that they are too old to judge and are not claimed again. A control member with 120,000 targets (152 MB) stays below its 256 MB with that.

The limit of records still refuses new keys, as an existing test asks for. Members with different limits would drop different keys, so that all control members must run the same version.

The new tests of both bounds fail before the change.

--- a/shallotgate/query/_once.py
+++ b/shallotgate/query/_once.py
@@ -25,6 +25,7 @@
 from shallotgate.query._task import QueryParts, Task
 from shallotgate.query._trial import read_standing, request_trial
 from shallotgate.routing import Candidate
+from shallotgate.state import ANSWER_LIMIT_BYTES
 
 _PAUSE_S = 0.1
 _CLAIM_ROUNDS = 4
@@ -220,7 +221,7 @@
                 key=self._task.request.key,
                 caller=self._task.caller,
                 claim=self._claim,
-                answer=encode_json(answer),
+                answer=_encode_bounded(answer),
                 time=0,
             )
         )
@@ -252,3 +253,18 @@
         if not isinstance(result, OnceResult):
             raise CommitUnknownError(f'unexpected result {result!r}')
         return result
+
+
+def _encode_bounded(answer: Answer) -> bytes:
+    """Return an answer as it is kept: without matches that are too large."""
+    encoded = encode_json(answer)
+    if len(encoded) <= ANSWER_LIMIT_BYTES:
+        return encoded
+    reason = f'{len(encoded)} bytes are too large to be kept for a resend'
+    shortened = dataclasses.replace(
+        answer,
+        matches=[],
+        matches_full=False,
+        findings=[AnswerFinding(path='matches', reason=reason)],
+    )
+    return encode_json(shortened)
--- a/shallotgate/query/tests/test_once.py
+++ b/shallotgate/query/tests/test_once.py
@@ -14,6 +14,7 @@
     reply_with,
 )
 from shallotgate.routing.tests.builders import wait_until
+from shallotgate.state import ANSWER_LIMIT_BYTES
 
 PRINT = {'group': 'print', 'class_name': 'print', 'key': KEY}
 
@@ -22,7 +23,7 @@
     tier = Tier()
     for name in ('p-x', 'p-y', 'p-z'):
         tier.port.behaviours[name] = lambda attempt: reply_ok(
-            attempt, matches=encode_json([{'id': 'label-7'}]), **fields
+            attempt, **{'matches': encode_json([{'id': 'label-7'}]), **fields}
         )
     return tier
 
@@ -38,6 +39,19 @@
     assert len(tier.port.sent) == 1
 
 
+def test_resend_of_a_large_answer_says_what_was_not_kept():
+    """Guards against an unknown outcome because an answer was too large."""
+    matches = [{'id': 'label-7', 'image': 'x' * ANSWER_LIMIT_BYTES}]
+    tier = make_printer(matches=encode_json(matches))
+    first = tier.ask(**PRINT)
+    assert first.matches[0]['id'] == 'label-7'
+    again = tier.ask(tier.add_entry(), **PRINT)
+    assert (again.outcome, again.repeated) == ('complete', True)
+    assert (list(again.matches), again.matches_full) == ([], False)
+    assert [finding.path for finding in again.findings] == ['matches']
+    assert len(tier.port.sent) == 1
+
+
 @pytest.mark.parametrize('status', ['timeout', 'lost', 'cancelled'])
 def test_cut_off_dispatch_is_unknown_and_never_repeated(status):
     """Guards against a retry of something that may have run."""
--- a/shallotgate/state/_once.py
+++ b/shallotgate/state/_once.py
@@ -18,6 +18,12 @@
 
 # Bounds the memory of a day; a full table refuses new keys as not run.
 ONCE_LIMIT = 200_000
+# Bounds one answer, so that a few large ones don't push out all others. A
+# larger one is not kept; a resend then learns only that the request has run.
+ANSWER_LIMIT_BYTES = 65_536
+# Bounds what all records hold. With 152 MB for 120,000 targets a control member
+# stays below 256 MB. 200,000 records without answers hold about 33 MB.
+ONCE_LIMIT_BYTES = 64 * 1024 * 1024
 # Late repeats of released claims are recognized for this many claims a key.
 _RELEASED_LIMIT = 8
 
@@ -49,15 +55,27 @@
     return f'{key} {caller}'
 
 
+def _measure(row: TimedRow[OnceRecord]) -> int:
+    """Return the bytes of all texts of a row."""
+    record = row.content
+    texts = (row.key, record.digest, record.claim, *record.released)
+    return sum(map(len, texts)) + len(record.answer or b'')
+
+
 class OnceTable:
     """Decides at most one run for each key of a caller.
 
-    A key is kept until 24 h after its own time, whatever its state. Later it
-    is too old, so it can't be claimed a second time.
+    A key is kept until 24 h after its own time, whatever its state, or until
+    the bytes of the table push out the oldest keys. Later it is too old, so it
+    can't be claimed a second time.
     """
 
     def __init__(self) -> None:
-        self._table: TimedTable[OnceRecord] = TimedTable(ONCE_LIMIT)
+        self._table: TimedTable[OnceRecord] = TimedTable(
+            ONCE_LIMIT,
+            ONCE_LIMIT_BYTES,
+            _measure,
+        )
 
     def __len__(self) -> int:
         return len(self._table)
@@ -97,12 +115,14 @@
                 claim=record.claim,
                 answer=record.answer,
             )
-        finished = replace(record, status='finished', answer=command.answer)
+        is_kept = len(command.answer) <= ANSWER_LIMIT_BYTES
+        answer = command.answer if is_kept else None
+        finished = replace(record, status='finished', answer=answer)
         self._put(key, command.key, finished)
         return OnceResult(
             status='recorded',
             claim=record.claim,
-            answer=command.answer,
+            answer=answer,
         )
 
     def release(self, command: ReleaseClaim, now: float) -> OnceResult:
--- a/shallotgate/state/_timed.py
+++ b/shallotgate/state/_timed.py
@@ -2,7 +2,7 @@
 
 import heapq
 import re
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from datetime import datetime
 from typing import Generic, Literal, TypeVar
 
@@ -16,6 +16,7 @@
 RETENTION_S = 86400
 # Clocks of callers and of the leader may differ by this much.
 FUTURE_TOLERANCE_S = 60
+_UNBOUNDED = float('inf')
 _ID_PATTERN = re.compile('([0-9]{8}T[0-9]{6}Z)-[A-Za-z0-9._-]{8,64}')
 
 
@@ -56,10 +57,22 @@
     Ids are dropped when their time is ``RETENTION_S`` ago, or earlier through
     ``drop_oldest``. The floor is the latest time of a dropped id: an absent id
     that is not later than the floor may have been dropped.
+
+    With ``measure``, which returns the bytes of a row, the table holds
+    ``limit_bytes`` at most: the oldest ids are dropped beyond that.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(
+        self,
+        limit: int,
+        limit_bytes: float = _UNBOUNDED,
+        measure: Callable[[TimedRow[_T]], int] | None = None,
+    ) -> None:
         self._limit = limit
+        self._limit_bytes = limit_bytes
+        self._measure = measure
+        # Bytes of all rows.
+        self.size_bytes = 0
         self._rows: dict[str, TimedRow[_T]] = {}
         # Each key once, with its time, so that ties are broken by the key.
         self._by_time: list[tuple[float, str]] = []
@@ -97,14 +110,21 @@
 
     def put(self, key: str, id_time: float, content: _T) -> None:
         """Add a key, or replace what is kept for it."""
-        if key not in self._rows:
+        former = self._rows.get(key)
+        if former is None:
             heapq.heappush(self._by_time, (id_time, key))
-        self._rows[key] = TimedRow(key, id_time, content)
+        else:
+            self.size_bytes -= self._read_size(former)
+        row = TimedRow(key, id_time, content)
+        self._rows[key] = row
+        self.size_bytes += self._read_size(row)
+        while self.size_bytes > self._limit_bytes:
+            self.drop_oldest()
 
     def drop_oldest(self) -> None:
         """Drop the id with the earliest time and raise the floor."""
         id_time, key = heapq.heappop(self._by_time)
-        self._rows.pop(key)
+        self.size_bytes -= self._read_size(self._rows.pop(key))
         self.floor = max(self.floor, id_time)
 
     def expire(self, now: float) -> None:
@@ -117,4 +137,8 @@
         self._rows = {row.key: row for row in rows}
         self._by_time = [(row.time, row.key) for row in rows]
         heapq.heapify(self._by_time)
+        self.size_bytes = sum(map(self._read_size, rows))
         self.floor = floor
+
+    def _read_size(self, row: TimedRow[_T]) -> int:
+        return 0 if self._measure is None else self._measure(row)
--- a/shallotgate/state/tests/test_once.py
+++ b/shallotgate/state/tests/test_once.py
@@ -5,6 +5,7 @@
     RecordOutcome,
     ReleaseClaim,
 )
+from shallotgate.state import ANSWER_LIMIT_BYTES
 from shallotgate.state.tests.builders import NOW, Driver, make_claim, make_id
 
 
@@ -93,3 +94,76 @@
     driver.apply(make_claim('c1'))
     assert driver.apply(make_claim('c2', tail='2')).status == 'table_full'
     assert driver.apply(make_claim('c3')).status == 'in_progress'
+
+
+def finish(driver, number, answer):
+    """Claim a key of its own second and record its answer."""
+    key = make_id(str(number), NOW - 1000 + number)
+    driver.apply(make_claim(f'c{number}', key=key))
+    return driver.apply(
+        RecordOutcome(
+            key=key,
+            caller='tellers',
+            claim=f'c{number}',
+            answer=answer,
+            time=NOW,
+        )
+    )
+
+
+def claim_again(driver, number):
+    key = make_id(str(number), NOW - 1000 + number)
+    return driver.apply(make_claim('again', key=key))
+
+
+@pytest.mark.parametrize('restarted', [False, True])
+def test_answer_beyond_its_bound_is_not_kept(restarted):
+    """Guards against one answer that fills the memory of the group."""
+    driver = Driver()
+    answer = b'x' * ANSWER_LIMIT_BYTES
+    assert finish(driver, 1, answer).answer == answer
+    recorded = finish(driver, 2, answer + b'x')
+    assert (recorded.status, recorded.answer) == ('recorded', None)
+    if restarted:
+        driver.restart()
+    repeated = claim_again(driver, 2)
+    assert (repeated.status, repeated.answer) == ('finished', None)
+
+
+@pytest.mark.parametrize('restarted', [False, True])
+def test_bytes_of_the_table_are_bounded(monkeypatch, restarted):
+    """Guards against a table of large answers that outgrows the memory.
+
+    What is pushed out must not be claimed again.
+    """
+    driver = Driver()
+    table = driver.state._once._table
+    monkeypatch.setattr(table, '_limit_bytes', 100_000)
+    for number in range(10):
+        finish(driver, number, b'x' * 30_000)
+    assert 60_000 < table.size_bytes <= 100_000
+    if restarted:
+        size_bytes = table.size_bytes
+        driver.restart()
+        assert driver.state._once._table.size_bytes == size_bytes
+    statuses = [claim_again(driver, number).status for number in range(10)]
+    assert statuses == ['too_old'] * 7 + ['finished'] * 3
+    # A key that was never seen but is as old can't be told from them.
+    assert claim_again(driver, 5.5).status == 'too_old'
+    assert driver.apply(make_claim('new', tail='new')).status == 'claimed'
+
+
+def test_bytes_of_a_table_return_to_zero():
+    """Guards against an account that drifts until nothing fits."""
+    driver = Driver()
+    for number in range(5):
+        finish(driver, number, b'x' * 100)
+    driver.apply(make_claim('c9', tail='9'))
+    driver.apply(
+        ReleaseClaim(key=make_id('9'), caller='tellers', claim='c9', time=NOW)
+    )
+    driver.apply(make_claim('c10', tail='9'))
+    assert driver.state._once._table.size_bytes > 500
+    driver.apply(AdvanceTime(time=NOW + 2 * 86400))
+    assert driver.state.count_once_records() == 0
+    assert driver.state._once._table.size_bytes == 0
