Assign owners by what changed, in slices

Cause: each step of the leader walked all owned targets several times and, after any change of the catalogue or of the live entries, assigned all of them anew.

Change: the planner follows the record of recent changes and keeps targets by owner and by need (moving, without owner, misplaced, not in the catalogue). A service is assigned anew when its targets or owners change or its entry is gone. All services are gone through in slices of 20 ms when the live entries change, when a bound of their loads falls, and by a new leader. Aims of entries that join are first set to what they own, so that a new leader moves nothing that is in place. Ranks are unchanged, so that an upgrade moves nothing by itself.

What may be granted is decided as before, on sessions and releases; the random test of overlaps now also runs with slices of a few units.

The tests of one changed service and of a new leader's slices fail before the change.

--- a/shallotgate/control/_duties.py
+++ b/shallotgate/control/_duties.py
@@ -23,6 +23,9 @@
 _COMMIT_S = 2.0
 _BARRIER_S = 1.0
 _PAUSE_S = 0.1
+# Between steps while the planner has work left; its slices then take less than
+# a third of a core.
+_BUSY_PAUSE_S = 0.05
 
 
 class LeaderDuties:
@@ -52,6 +55,8 @@
         # Counts elections, so that a barrier of an earlier one is discarded.
         self._election = 0
         self._is_stopped = False
+        # Whether the planner has work left for the next step.
+        self._is_busy = False
         self._advance_at = float('-inf')
         self._thread = threading.Thread(
             target=self._run,
@@ -103,12 +108,15 @@
                 _LOGGER.exception('A step of the leader failed.')
             with self._changed:
                 if not self._is_stopped and not self._is_newly_elected():
-                    self._changed.wait(_STEP_S)
+                    self._changed.wait(
+                        _BUSY_PAUSE_S if self._is_busy else _STEP_S,
+                    )
 
     def _is_newly_elected(self) -> bool:
         return self._is_elected and not self._is_active
 
     def _step(self) -> None:
+        self._is_busy = False
         if self._is_newly_elected():
             self._activate()
         if self.is_active():
@@ -139,13 +147,13 @@
             )
 
     def _assign(self) -> None:
-        state = self._state.read()
         sessions = self._sessions.freeze(time.monotonic())
-        plan = self._planner.plan(state, sessions)
+        plan = self._planner.plan(self._state, sessions)
+        self._is_busy = plan.is_busy
         grants = [
             grant
             for grant in plan.grants
-            if check_grant(grant, state, sessions)
+            if check_grant(grant, plan.applied, sessions)
         ]
         if not self.is_active():
             return
--- a/shallotgate/control/tests/simulation.py
+++ b/shallotgate/control/tests/simulation.py
@@ -1,6 +1,7 @@
 """Leader and entries on simulated time, with an independent check."""
 
 import random
+import time
 
 from shallotgate.codec import encode_tagged
 from shallotgate.control._owners import OwnerPlanner, check_grant
@@ -70,7 +71,9 @@
 class Simulation:
     """One leader at a time; fails if two entries use one target at once."""
 
-    def __init__(self, services=4, replicas=2, seed=0):
+    def __init__(self, services=4, replicas=2, seed=0, clock=time.monotonic):
+        # Bounds the slices of the planner.
+        self.clock = clock
         self.random = random.Random(seed)
         self.now = 1000.0
         self.state = TierState()
@@ -100,7 +103,7 @@
     def elect(self):
         self.sessions = SessionTable(MAX_ATTEMPT_S)
         self.sessions.restart(self.now)
-        self.planner = OwnerPlanner()
+        self.planner = OwnerPlanner(self.clock)
 
     def add(self, *args, **fields):
         entry = Entry(*args, **fields)
@@ -164,7 +167,7 @@
     def lead(self):
         state = self.state.read()
         view = self.sessions.freeze(self.now)
-        plan = self.planner.plan(state, view)
+        plan = self.planner.plan(self.state, view)
         assert all(check_grant(grant, state, view) for grant in plan.grants)
         for grant in plan.grants:
             self.granted_at[grant.target] = self.now
--- a/shallotgate/control/tests/test_owners.py
+++ b/shallotgate/control/tests/test_owners.py
@@ -1,14 +1,30 @@
+import itertools
+import time
+
 import pytest
+import xxhash
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from shallotgate.control._tracker import SLICE_S
 from shallotgate.control.tests.simulation import (
     MAX_ATTEMPT_S,
     Entry,
     Simulation,
 )
 from shallotgate.invariants import read_breaches
-from shallotgate.state.tests.builders import make_change, make_service, put
+from shallotgate.state.tests.builders import (
+    make_change,
+    make_service,
+    put,
+    target,
+)
+
+
+def make_clock(readings):
+    """Return a clock that ends a slice after some readings."""
+    ticks = itertools.count()
+    return lambda: next(ticks) * SLICE_S / readings
 
 
 @pytest.fixture
@@ -150,12 +166,67 @@
     assert 0 < most <= 2
 
 
-@given(st.integers(0, 10**6))
+class ChoiceWatch:
+    """Records the targets for which owners are ranked."""
+
+    def __init__(self, monkeypatch):
+        self.targets = set()
+        digest = xxhash.xxh3_64_intdigest
+
+        def hash_and_record(content):
+            self.targets.add(content.decode().split()[0])
+            return digest(content)
+
+        monkeypatch.setattr(xxhash, 'xxh3_64_intdigest', hash_and_record)
+
+
+def test_change_of_a_service_recomputes_no_others(monkeypatch):
+    """Guards against a step whose cost grows with the whole catalogue."""
+    simulation = Simulation(services=100)
+    for name in 'abc':
+        simulation.add(f'e{name}', name)
+    simulation.run(8)
+    assert simulation.count_held() == 200
+    watch = ChoiceWatch(monkeypatch)
+    simulation.run(2)
+    assert not watch.targets
+    edit = make_service('new', target('n0', 501), target('n1', 502))
+    simulation.apply(make_change([edit], base=1, tail='2'))
+    simulation.run(2)
+    assert simulation.count_held() == 202
+    assert watch.targets == {'n0', 'n1'}
+
+
+def test_new_leader_goes_through_all_targets_in_slices(monkeypatch):
+    """Guards against a long step, which holds up the leader's heartbeats."""
+    simulation = Simulation(services=200, replicas=3, clock=make_clock(20))
+    for number in range(6):
+        simulation.add(f'e{number}', 'abc'[number % 3])
+    simulation.run_until(lambda: simulation.count_held() == 600, 120)
+    simulation.elect()
+    watch = ChoiceWatch(monkeypatch)
+    seen = set()
+    most = 0
+
+    def check_replicas():
+        nonlocal most
+        most = max(most, len(watch.targets))
+        seen.update(watch.targets)
+        watch.targets.clear()
+
+    simulation.check_replicas = check_replicas
+    simulation.run_until(lambda: len(seen) == 600, 120)
+    # Three targets of each service, and one reading for each service.
+    assert most <= 20 * 3
+
+
+@given(st.integers(0, 10**6), st.booleans())
 @settings(max_examples=60, deadline=None)
-def test_two_entries_never_use_one_target_at_once(seed):
+def test_two_entries_never_use_one_target_at_once(seed, is_sliced):
     """Guards against overlap through freezes, cuts, restarts, elections."""
     breaches = read_breaches()
-    simulation = Simulation(seed=seed)
+    clock = make_clock(8) if is_sliced else time.monotonic
+    simulation = Simulation(seed=seed, clock=clock)
     for number in range(4):
         simulation.add(f'e{number}', 'abc'[number % 3])
     generator = simulation.random
--- a/testkit/slopes/__main__.py
+++ b/testkit/slopes/__main__.py
@@ -4,14 +4,27 @@
 import sys
 from dataclasses import asdict
 
+import defopt
+
 from testkit.slopes._measure import measure_all
+from testkit.slopes._steps import measure_steps
+
 
+def main(*, step_targets: int = 0, step_owners: int = 3100) -> None:
+    """Measure and print.
 
-def main() -> None:
-    """Measure and print."""
-    text = json.dumps(measure_all(), indent=1, default=asdict)
+    Args:
+        step_targets: Measure only the steps of a leader, at so many targets.
+        step_owners: Entries that own them.
+    """
+    figures = (
+        measure_steps(step_targets, step_owners)
+        if step_targets
+        else measure_all()
+    )
+    text = json.dumps(figures, indent=1, default=asdict)
     sys.stdout.write(f'{text}\n')
 
 
 if __name__ == '__main__':
-    main()
+    defopt.run(main)
--- a/testkit/slopes/_content.py
+++ b/testkit/slopes/_content.py
@@ -54,14 +54,18 @@
         return encode_tagged(command)
 
     def fill(self, targets: int, owners: int) -> None:
-        """Put services with three targets each into the state."""
+        """Put services with three targets each into the state.
+
+        Without owners nothing is granted.
+        """
         self.change([make_domain_edit(number) for number in range(_DOMAINS)])
         services = [
             make_service_edit(number) for number in range(targets // _REPLICAS)
         ]
         for first in range(0, len(services), _SERVICES_PER_CHANGE):
             self.change(services[first : first + _SERVICES_PER_CHANGE])
-        self._grant(targets // _REPLICAS * _REPLICAS, owners)
+        if owners:
+            self._grant(targets // _REPLICAS * _REPLICAS, owners)
 
     def _grant(self, targets: int, owners: int) -> None:
         self.apply(
--- a/testkit/slopes/_measure.py
+++ b/testkit/slopes/_measure.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Sequence
 
 from shallotgate.codec import encode_tagged
-from shallotgate.control._assignment import Candidate, assign_owners
+from shallotgate.control._assignment import assign_owners
+from shallotgate.control._ranking import Candidate
 from shallotgate.generated.messages import (
     Attempt,
     AttemptReply,
