Report only the states of targets that changed

Cause: an owner sent the states of all its targets each second to every entry that had used it in the last 10 s, 24 MB/s to an entry at the design size.

Change: the owner keeps what each start of each entry was told, by reports and by the states in replies, and sends what differs. Smoothed times count as changed from 10% and 0.5 ms on. A report without states goes out all the same: the entry takes it as a confirmation of all states of that owner, so that a silent owner still turns stale after 3 s. Reports are numbered; after a gap the entry confirms nothing and asks for a full one. Full reports also go to a new subscriber, to a new start of an entry and every 600 s, which repairs what was lost with a reply. A target that moved away is named as removed, and only states of the owner's own epoch are confirmed.

--- a/shallotgate/routing/_index.py
+++ b/shallotgate/routing/_index.py
@@ -74,6 +74,14 @@
             group_holdings[target] = _Holding(content, now)
             self.revision += 1
 
+    def confirm(self, group: str, target: str) -> bool:
+        """Note that a target holds what it held; False if it is unknown."""
+        holding = self._groups.get(group, {}).get(target)
+        if holding is None:
+            return False
+        holding.heard_at = self._clock()
+        return True
+
     def drop_missing(self) -> None:
         """Take away the places of targets that were not heard of."""
         limit = self._clock() - _MISSING_S
--- a/shallotgate/routing/_mailbox_port.py
+++ b/shallotgate/routing/_mailbox_port.py
@@ -19,6 +19,7 @@
 from shallotgate.routing._index import IndexMap
 from shallotgate.routing._latency import LatencyTracker
 from shallotgate.routing._observations import Observations
+from shallotgate.routing._owner_reports import ReportReader
 from shallotgate.routing._port import ReplySink
 from shallotgate.timers import TimerService
 from shallotgate.transport import Delivery, Mailbox
@@ -100,6 +101,14 @@
         self._metrics = metrics
         self._is_local = limits != 'owner'
         metrics.gauge('attempts_pending', lambda: len(self._pending))
+        self._reports = ReportReader(
+            mailbox,
+            view,
+            observations,
+            index_map,
+            metrics,
+            self.accept_states,
+        )
         self._pending: dict[str, _Pending] = {}
         # Monotonic time of the last reply to an attempt, by owner.
         self._replied_at: dict[str, float] = {}
@@ -107,7 +116,7 @@
     def start(self, timers: TimerService) -> None:
         """Subscribe to messages, views and the timer; before the mailbox."""
         self._mailbox.subscribe(AttemptReply, self._accept_remote)
-        self._mailbox.subscribe(OwnerReport, self._accept_report)
+        self._mailbox.subscribe(OwnerReport, self._reports.accept)
         self._view.subscribe(self._accept_view)
         timers.every(_SWEEP_S, self.sweep)
         timers.every(_LOCAL_REPORT_S, self._refresh)
@@ -240,9 +249,6 @@
         self._observations.trust_owner(delivery.sender)
         self._accept(reply, delivery.age_s)
 
-    def _accept_report(self, delivery: Delivery) -> None:
-        self.accept_states(delivery.message.states, delivery.age_s)
-
     def _accept(self, reply: AttemptReply, age_s: float = 0) -> None:
         if reply.state is not None:
             self.accept_states((reply.state,), age_s)
--- a/shallotgate/routing/_observations.py
+++ b/shallotgate/routing/_observations.py
@@ -15,7 +15,8 @@
 _UNKNOWN_MS = 0.1
 # After a failure a target is less preferred for this long.
 _FAILURE_VALID_S = 2.0
-# Owners report every second; two missed reports make a state stale.
+# Owners report every second, also when nothing changed; two missed reports
+# make a state stale.
 STATE_FRESH_S = 3.0
 # An owner that refuses or is silent is avoided for this long at a time.
 _AVOID_S = 1.0
@@ -200,6 +201,27 @@
                 self.revision += 1
         return True
 
+    def confirm_state(
+        self,
+        target: str,
+        epoch: int,
+        age_s: float = 0,
+    ) -> TargetState | None:
+        """Note that an owner's state of a target has not changed.
+
+        Returns the state, or None if none is known. That of another owner is
+        left as it is.
+        """
+        record = self._records.get(target)
+        if record is None or record.state is None:
+            return None
+        made_at = self._clock() - age_s
+        with self._lock:
+            if record.state.epoch == epoch:
+                record.state_at = max(record.state_at, made_at)
+                record.sent_since = 0
+            return record.state
+
     def _is_avoided(self, owner: str, now: float) -> bool:
         return self._avoided.get(owner, now) > now
 
--- a/shallotgate/targets/_server.py
+++ b/shallotgate/targets/_server.py
@@ -2,17 +2,18 @@
 
 import time
 from dataclasses import replace
+from functools import partial
 
 from shallotgate.errors import PeerUnreachableError
 from shallotgate.generated.messages import (
     Attempt,
     AttemptReply,
     CancelAttempt,
-    OwnerReport,
     SubscribeReports,
 )
 from shallotgate.logs import get_logger
 from shallotgate.targets._owned import OwnedTargets
+from shallotgate.targets._reports import ReaderLog
 from shallotgate.timers import Subscription, TimerService
 from shallotgate.transport import Delivery, Mailbox
 
@@ -35,8 +36,8 @@
         self._mailbox = mailbox
         self._owned = owned
         self._timers = timers
-        # Monotonic time of the last use, by instance.
-        self._users: dict[str, float] = {}
+        # What each entry was told, by instance.
+        self._users: dict[str, ReaderLog] = {}
         self._reporting: Subscription | None = None
 
     def start(self) -> None:
@@ -53,22 +54,24 @@
 
     def _take_attempt(self, delivery: Delivery) -> None:
         sender = delivery.sender
-        self._users[sender] = time.monotonic()
+        user = self._note_use(delivery)
         attempt: Attempt = delivery.message
         left_ms = attempt.time_left_ms - delivery.age_s * _MS_PER_S
         if left_ms <= 0:
-            self._send(
-                sender,
-                AttemptReply(
-                    attempt_id=attempt.attempt_id,
-                    status='not_run',
-                    reason='late',
-                ),
+            late = AttemptReply(
+                attempt_id=attempt.attempt_id,
+                status='not_run',
+                reason='late',
             )
+            user.send_reply(late, None)
             return
         self._owned.submit(
             replace(attempt, time_left_ms=left_ms),
-            lambda reply: self._send(sender, reply),
+            # A restarted entry has a log of its own by then.
+            lambda reply: self._users.get(sender, user).send_reply(
+                reply,
+                reply.state,
+            ),
         )
 
     def _take_cancel(self, delivery: Delivery) -> None:
@@ -76,22 +79,36 @@
         self._owned.cancel(cancel.attempt_id)
 
     def _take_subscription(self, delivery: Delivery) -> None:
-        self._users[delivery.sender] = time.monotonic()
+        user = self._note_use(delivery)
+        if delivery.message.full:
+            user.ask_full()
 
-    def _send(self, peer: str, message: object) -> None:
+    def _note_use(self, delivery: Delivery) -> ReaderLog:
+        user = self._users.get(delivery.sender)
+        if user is None or user.start_id != delivery.start_id:
+            user = ReaderLog(
+                delivery.start_id,
+                partial(self._send, delivery.sender),
+            )
+            self._users[delivery.sender] = user
+        user.used_at = time.monotonic()
+        return user
+
+    def _send(self, peer: str, message: object) -> bool:
         try:
             self._mailbox.send(peer, message)
         except PeerUnreachableError:
             _LOGGER.info('Message to an entry dropped.', extra={'peer': peer})
+            return False
+        return True
 
     def _report(self) -> None:
-        since = time.monotonic() - _INTEREST_S
-        users = [peer for peer, used_at in tuple(self._users.items())]
-        for peer in users:
-            if self._users[peer] < since:
+        now = time.monotonic()
+        for peer, user in tuple(self._users.items()):
+            if user.used_at < now - _INTEREST_S:
                 self._users.pop(peer)
         if not self._users:
             return
-        report = OwnerReport(states=self._owned.states())
-        for peer in tuple(self._users):
-            self._send(peer, report)
+        states = self._owned.states()
+        for reader in tuple(self._users.values()):
+            reader.send_report(states, now)
--- a/shallotgate/targets/tests/test_server.py
+++ b/shallotgate/targets/tests/test_server.py
@@ -27,9 +27,9 @@
     def send(self, peer, message):
         self.sent.put((peer, message))
 
-    def deliver(self, message, age_s=0):
+    def deliver(self, message, age_s=0, start_id='start-9'):
         self.handlers[type(message)](
-            Delivery('entry-9', 'start-9', '', age_s, message)
+            Delivery('entry-9', start_id, '', age_s, message)
         )
 
     def take(self, message_type):
@@ -86,6 +86,21 @@
     assert [state.target for state in report.states] == ['t']
 
 
+def test_unchanged_reports_are_empty_until_the_entry_restarts(rig):
+    """Guards against traffic without news and a restarted entry without."""
+    rig.mailbox.deliver(SubscribeReports())
+    assert rig.mailbox.take(OwnerReport).full
+    report = rig.mailbox.take(OwnerReport)
+    assert (report.full, list(report.states)) == (False, [])
+    rig.mailbox.deliver(SubscribeReports())
+    assert not rig.mailbox.take(OwnerReport).full
+    rig.mailbox.deliver(SubscribeReports(), start_id='start-10')
+    report = rig.mailbox.take(OwnerReport)
+    assert (report.full, len(report.states)) == (True, 1)
+    rig.mailbox.deliver(SubscribeReports(full=True), start_id='start-10')
+    assert rig.mailbox.take(OwnerReport).full
+
+
 class ListServer:
     def __init__(self):
         self.body = b''
--- a/testkit/slopes/_measure.py
+++ b/testkit/slopes/_measure.py
@@ -27,6 +27,7 @@
 )
 from testkit.slopes._differences import measure_differences
 from testkit.slopes._fit import fit_line
+from testkit.slopes._reports import measure_reports
 
 SIZES = (1500, 3000, 6000, 12000)
 OWNERS = 100
@@ -45,6 +46,7 @@
         'differences': measure_differences(sizes),
         'assignment': measure_assignment(sizes),
         'report': measure_report(),
+        'reports_by_change': measure_reports(),
         'instances': measure_instances(),
     }
 
