Keep rules of updates, versions and choice of targets once

Cause: the leader made and instances took over each part of a state update by code of its own (ownership, quarantine, instances); the kinds of catalogue entries stood in three places, the order of versions in three, and screening repeated rules of shallotgate.routing. Change: one function for each side of an update and a table of what differs by part; KINDS and covers are in shallotgate.state; leave_out, prefer and the reported latency are in shallotgate.routing, and Candidate has its own module. Screening still ignores the room of a target, unlike the chooser: room includes an entry's own load, so that entries would come to different orders and more than two targets might run unproven content. A test and a comment say so.

--- a/shallotgate/control/_updates.py
+++ b/shallotgate/control/_updates.py
@@ -1,12 +1,13 @@
 """State updates for instances."""
 
 import time
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from dataclasses import replace
-from typing import Any, TypeVar
+from types import MappingProxyType
+from typing import Any
 
 from shallotgate.codec import encode_json
-from shallotgate.control._sessions import SessionTable
+from shallotgate.control._sessions import ListedInstances, SessionTable
 from shallotgate.generated.catalogue import Catalogue
 from shallotgate.generated.messages import (
     CatalogueDifference,
@@ -17,11 +18,19 @@
     QuarantineDifference,
     StateUpdate,
 )
-from shallotgate.state import StateChanges, TierState
-
-_KINDS = ('callers', 'classes', 'services', 'domains')
-
-_Entry = TypeVar('_Entry')
+from shallotgate.state import KINDS, StateChanges, TierState
+
+_Names = Collection[str] | None
+# Name, records and changed names; ``None`` where all may have changed.
+_Part = tuple[str, Mapping[str, object], _Names]
+# Type of the difference of each part of records by name.
+_DIFFERENCES: Mapping[str, Callable[..., object]] = MappingProxyType(
+    {
+        'ownership': OwnershipDifference,
+        'quarantine': QuarantineDifference,
+        'instances': InstancesDifference,
+    }
+)
 
 
 def make_update(
@@ -36,14 +45,17 @@
     has as many entries as the part.
     """
     changes = state.list_changes(request.versions)
+    listed = sessions.list_changes(request.instances_version, time.monotonic())
+    parts: dict[str, Any] = {}
+    for part, records, names in _list_newer(changes, listed, request):
+        parts |= _make_records(part, records, names, whole=request.whole)
     update = StateUpdate(
         versions=changes.applied.versions,
         term=0,
+        instances_version=listed.version,
         base=request.versions,
         base_instances_version=request.instances_version,
-        **_make_ownership(changes, request),
-        **_make_quarantine(changes, request),
-        **_make_instances(sessions, request),
+        **parts,
     )
     if update.versions.catalogue == request.versions.catalogue:
         return update
@@ -58,7 +70,7 @@
 ) -> StateUpdate:
     names = changes.catalogue
     catalogue = changes.applied.catalogue
-    size = sum(len(getattr(catalogue, kind)) for kind in _KINDS)
+    size = sum(len(getattr(catalogue, kind)) for kind in KINDS)
     if request.whole or names is None or len(names) >= size:
         # The catalogue may be newer than the other parts by now.
         newer, encoded = state.encode_catalogue()
@@ -72,7 +84,7 @@
     catalogue: Catalogue,
     names: Collection[tuple[str, str]],
 ) -> CatalogueDifference:
-    put: dict[str, dict[str, Any]] = {kind: {} for kind in _KINDS}
+    put: dict[str, dict[str, Any]] = {kind: {} for kind in KINDS}
     removed = []
     for kind, name in names:
         entry = getattr(catalogue, kind).get(name)
@@ -84,57 +96,33 @@
     return CatalogueDifference(put=encode_json(entries), removed=removed)
 
 
-def _make_ownership(
+def _list_newer(
     changes: StateChanges,
+    listed: ListedInstances,
     request: FetchState,
-) -> dict[str, Any]:
+) -> Iterator[_Part]:
+    """Yield name, records and changed names of each newer part."""
     applied = changes.applied
-    if applied.versions.ownership == request.versions.ownership:
-        return {}
-    names = changes.ownership
-    if request.whole or names is None or len(names) >= len(applied.ownership):
-        return {'ownership': tuple(applied.ownership.values())}
-    put, removed = _split(applied.ownership, names)
-    difference = OwnershipDifference(put=put, removed=removed)
-    return {'ownership_difference': difference}
-
-
-def _make_quarantine(
-    changes: StateChanges,
-    request: FetchState,
+    if applied.versions.ownership != request.versions.ownership:
+        yield 'ownership', applied.ownership, changes.ownership
+    if applied.versions.quarantine != request.versions.quarantine:
+        yield 'quarantine', applied.quarantine, changes.quarantine
+    if listed.version != request.instances_version:
+        yield 'instances', listed.records, listed.names
+
+
+def _make_records(
+    part: str,
+    records: Mapping[str, object],
+    names: _Names,
+    *,
+    whole: bool,
 ) -> dict[str, Any]:
-    applied = changes.applied
-    if applied.versions.quarantine == request.versions.quarantine:
-        return {}
-    names = changes.quarantine
-    if request.whole or names is None or len(names) >= len(applied.quarantine):
-        return {'quarantine': tuple(applied.quarantine.values())}
-    put, removed = _split(applied.quarantine, names)
-    difference = QuarantineDifference(put=put, removed=removed)
-    return {'quarantine_difference': difference}
-
-
-def _make_instances(
-    sessions: SessionTable,
-    request: FetchState,
-) -> dict[str, Any]:
-    known = request.instances_version
-    listed = sessions.list_changes(known, time.monotonic())
-    parts: dict[str, Any] = {'instances_version': listed.version}
-    if listed.version == known:
-        return parts
-    names = listed.names
-    if request.whole or names is None or len(names) >= len(listed.records):
-        return {**parts, 'instances': tuple(listed.records.values())}
-    put, removed = _split(listed.records, names)
-    difference = InstancesDifference(put=put, removed=removed)
-    return {**parts, 'instances_difference': difference}
-
-
-def _split(
-    entries: Mapping[str, _Entry],
-    names: Collection[str],
-) -> tuple[list[_Entry], list[str]]:
-    """Return the present entries and the names of those that are gone."""
-    put = [entries[name] for name in names if name in entries]
-    return put, [name for name in names if name not in entries]
+    """Return the fields of a part of records by name, whole or different."""
+    if whole or names is None or len(names) >= len(records):
+        return {part: tuple(records.values())}
+    difference = _DIFFERENCES[part](
+        put=[records[name] for name in names if name in records],
+        removed=[name for name in names if name not in records],
+    )
+    return {f'{part}_difference': difference}
--- a/shallotgate/membership/_applier.py
+++ b/shallotgate/membership/_applier.py
@@ -14,8 +14,9 @@
 from shallotgate.logs import get_logger
 from shallotgate.membership._link import ControlLink
 from shallotgate.membership._releases import ReleaseList, list_unopened
-from shallotgate.membership._updates import covers, update_view
+from shallotgate.membership._updates import update_view
 from shallotgate.membership._view import TierView
+from shallotgate.state import covers
 from shallotgate.transport import Mailbox
 
 _LOGGER = get_logger('membership')
@@ -48,7 +49,10 @@
 
     def covers(self, reply: HeartbeatReply) -> bool:
         """Return whether the versions that a reply names are in force."""
-        return covers(self._view.current().versions, reply.versions)
+        named = reply.versions
+        if named is None:
+            return False
+        return covers(self._view.current().versions, named)
 
     def fetch(self, peer: str, reply: HeartbeatReply) -> None:
         """Apply what a heartbeat's reply names, if it is not in force yet."""
--- a/shallotgate/membership/_differences.py
+++ b/shallotgate/membership/_differences.py
@@ -10,8 +10,7 @@
 from shallotgate.generated.messages import CatalogueDifference, EntryName
 from shallotgate.membership._chunks import ChunkedMapping
 from shallotgate.membership._view import TargetPlace, list_places
-
-_KINDS = ('callers', 'classes', 'services', 'domains')
+from shallotgate.state import KINDS
 
 _Entry = TypeVar('_Entry')
 
@@ -46,7 +45,7 @@
     """
     entries = decode_json(difference.put, Catalogue)
     kinds: dict[str, Any] = {}
-    for kind in _KINDS:
+    for kind in KINDS:
         put = getattr(entries, kind)
         removed = _list_removed(difference.removed, kind)
         if put or removed:
--- a/shallotgate/membership/_updates.py
+++ b/shallotgate/membership/_updates.py
@@ -2,35 +2,27 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
+from functools import partial
 from types import MappingProxyType
 from typing import Any
 
 from shallotgate.codec import decode_json
 from shallotgate.errors import BaseMismatchError
 from shallotgate.generated.catalogue import Catalogue
-from shallotgate.generated.messages import StateUpdate, Versions
+from shallotgate.generated.messages import StateUpdate
 from shallotgate.membership._chunks import ChunkedMapping
 from shallotgate.membership._differences import edit_catalogue, edit_mapping
 from shallotgate.membership._view import View, list_places
 
 _Maker = Callable[[View, StateUpdate], dict[str, Any]]
-
-
-def covers(present: Versions, named: Versions | None) -> bool:
-    """Return whether all parts are at the named versions or newer.
-
-    >>> covers(Versions(catalogue=2), Versions(catalogue=1))
-    True
-    >>> covers(Versions(catalogue=2), Versions(quarantine=1))
-    False
-    """
-    if named is None:
-        return False
-    return (
-        present.catalogue >= named.catalogue
-        and present.ownership >= named.ownership
-        and present.quarantine >= named.quarantine
-    )
+# Field that is the key of the records of a part.
+_KEYS: Mapping[str, str] = MappingProxyType(
+    {
+        'ownership': 'target',
+        'quarantine': 'digest',
+        'instances': 'instance',
+    }
+)
 
 
 def update_view(
@@ -68,7 +60,7 @@
     if update.instances_difference is not None:
         base = update.base_instances_version
         _check_base('instances', base, instances_version)
-    parts.update(_make_instances(view, update))
+    parts.update(_make_records('instances', view, update))
     return replace(view, versions=replace(present, **versions), **parts)
 
 
@@ -94,62 +86,32 @@
     return {'catalogue': catalogue, 'places': places}
 
 
-def _make_ownership(view: View, update: StateUpdate) -> dict[str, Any]:
-    return {
-        'ownership': _edit(
-            view.ownership,
-            update.ownership,
-            update.ownership_difference,
-            'target',
-        ),
-    }
-
-
-def _make_quarantine(view: View, update: StateUpdate) -> dict[str, Any]:
-    return {
-        'quarantine': _edit(
-            view.quarantine,
-            update.quarantine,
-            update.quarantine_difference,
-            'digest',
-        ),
-    }
+def _make_records(
+    part: str,
+    view: View,
+    update: StateUpdate,
+) -> dict[str, Any]:
+    """Return a part with its difference, or whole, or as it was."""
+    present = getattr(view, part)
+    difference = getattr(update, f'{part}_difference')
+    if difference is not None:
+        put = _index(part, difference.put)
+        return {part: edit_mapping(present, put, difference.removed)}
+    whole = getattr(update, part)
+    return {part: present if whole is None else _index(part, whole)}
 
 
-def _make_instances(view: View, update: StateUpdate) -> dict[str, Any]:
-    return {
-        'instances': _edit(
-            view.instances,
-            update.instances,
-            update.instances_difference,
-            'instance',
-        ),
-    }
+def _index(part: str, records: Sequence[object]) -> Mapping[str, Any]:
+    key = _KEYS[part]
+    return MappingProxyType(
+        {getattr(record, key): record for record in records}
+    )
 
 
 _MAKERS: Mapping[str, _Maker] = MappingProxyType(
     {
         'catalogue': _make_catalogue,
-        'ownership': _make_ownership,
-        'quarantine': _make_quarantine,
+        'ownership': partial(_make_records, 'ownership'),
+        'quarantine': partial(_make_records, 'quarantine'),
     }
 )
-
-
-def _edit(
-    present: Mapping[str, Any],
-    whole: Sequence[object] | None,
-    difference: Any,
-    field: str,
-) -> Mapping[str, Any]:
-    """Return a part with its difference, or whole, or as it was."""
-    if difference is not None:
-        put = _index(difference.put, field)
-        return edit_mapping(present, put, difference.removed)
-    return present if whole is None else _index(whole, field)
-
-
-def _index(records: Sequence[object], field: str) -> Mapping[str, Any]:
-    return MappingProxyType(
-        {getattr(record, field): record for record in records}
-    )
--- a/shallotgate/membership/_view.py
+++ b/shallotgate/membership/_view.py
@@ -14,6 +14,7 @@
     Versions,
 )
 from shallotgate.invariants import check
+from shallotgate.state import covers
 
 
 @dataclass(frozen=True)
@@ -88,13 +89,8 @@
         with self._lock:
             before = self._view.versions
             after = view.versions
-            rising = (
-                after.catalogue >= before.catalogue
-                and after.ownership >= before.ownership
-                and after.quarantine >= before.quarantine
-            )
             if not check(
-                rising,
+                covers(after, before),
                 'versions-only-upwards',
                 before=before,
                 after=after,
--- a/shallotgate/query/_pick.py
+++ b/shallotgate/query/_pick.py
@@ -6,7 +6,7 @@
 
 from shallotgate.query._exchange import Exchange
 from shallotgate.query._screening import rank_targets
-from shallotgate.routing import Candidate, ReplicaChooser
+from shallotgate.routing import Candidate, ReplicaChooser, leave_out, prefer
 
 # A target slower than the median by this factor screens nothing: each query
 # with new content waits for its screening.
@@ -93,11 +93,13 @@
         """Return the first target of the order that is not excluded."""
         if self.is_spent(excluded):
             return None
+        # Unlike for proven content room doesn't count: entries would come to
+        # different orders, and more targets would run unproven content.
+        quick = _prefer_quick(self._prefer_other_domains(candidates))
         allowed = {
             one.target: one
-            for one in _prefer_quick(self._prefer_other_domains(candidates))
-            if one.target not in excluded
-            and not (warm_only and one.observation.is_cold())
+            for one in leave_out(quick, excluded)
+            if not (warm_only and one.observation.is_cold())
         }
         ranked = rank_targets(self._digest, allowed)
         return allowed[ranked[0]] if ranked else None
@@ -111,8 +113,7 @@
         candidates: Sequence[Candidate],
     ) -> Sequence[Candidate]:
         reached = {*self._lost_domains, *self._exchange.exposed.values()}
-        others = [one for one in candidates if one.domain not in reached]
-        return others or candidates
+        return prefer(candidates, lambda one: one.domain not in reached)
 
 
 def _prefer_quick(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
@@ -121,22 +122,18 @@
     Owners report latencies to all entries, so that these agree on the order
     of what is left.
     """
-    latencies = [_read_latency_ms(one) for one in candidates]
-    known = [latency for latency in latencies if latency]
+    reported = [one.observation.read_reported_ms() for one in candidates]
+    known = [latency_ms for latency_ms in reported if latency_ms]
     if not known:
         return candidates
     limit_ms = statistics.median(known) * _SLOW_FACTOR
-    quick = [
-        one
-        for one, latency in zip(candidates, latencies, strict=True)
-        if latency <= limit_ms and not one.observation.is_cold()
-    ]
-    return quick or candidates
-
-
-def _read_latency_ms(candidate: Candidate) -> float:
-    state = candidate.observation.state
-    return state.latency_ms if state else 0
+    return prefer(
+        candidates,
+        lambda one: (
+            one.observation.read_reported_ms() <= limit_ms
+            and not one.observation.is_cold()
+        ),
+    )
 
 
 class TrialPick:
--- a/shallotgate/query/tests/test_screening.py
+++ b/shallotgate/query/tests/test_screening.py
@@ -290,5 +290,24 @@
     assert picked == {'quick', 'other'}
 
 
+def test_screening_order_ignores_the_load_of_one_entry():
+    """Guards against entries that hedge unproven content to a third target."""
+    picked = set()
+    for busy in ('', 'a', 'b', 'c'):
+        observations = Observations()
+        for name in ('a', 'b', 'c'):
+            observations.accept_state(make_state(name, limit=1))
+        if busy:
+            observations.note_sent(busy)
+        candidates = [
+            Candidate(name, 's', 'e', 1, near=True, observation=one)
+            for name in ('a', 'b', 'c')
+            for one in [observations.observe(name)]
+        ]
+        pick = ScreeningPick('digest', FakeExchange())
+        picked.add(pick.pick(candidates, (), warm_only=True).target)
+    assert len(picked) == 1
+
+
 class FakeExchange:
     exposed: ClassVar[dict[str, str]] = {}
--- a/shallotgate/routing/__init__.py
+++ b/shallotgate/routing/__init__.py
@@ -1,7 +1,8 @@
 """Choice of replicas, budgets for extra load, and the way to owners."""
 
 from shallotgate.routing._budget import Budget
-from shallotgate.routing._chooser import Candidate, ReplicaChooser, Route
+from shallotgate.routing._candidate import Candidate
+from shallotgate.routing._chooser import ReplicaChooser, Route
 from shallotgate.routing._index import IndexChoice, IndexMap
 from shallotgate.routing._latency import LatencyTracker
 from shallotgate.routing._mailbox_port import LocalTargets, MailboxAttemptPort
@@ -12,6 +13,7 @@
     is_target_lost,
 )
 from shallotgate.routing._port import AttemptPort, ReplySink
+from shallotgate.routing._preference import leave_out, prefer
 from shallotgate.routing._reports import (
     AllGroups,
     ReportInterest,
@@ -39,4 +41,6 @@
     'TargetObservation',
     'UsedGroups',
     'is_target_lost',
+    'leave_out',
+    'prefer',
 )
--- a/shallotgate/routing/_chooser.py
+++ b/shallotgate/routing/_chooser.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass
 
 from shallotgate.membership import TargetPlace, TierView, View
+from shallotgate.routing._candidate import Candidate
 from shallotgate.routing._index import IndexMap
-from shallotgate.routing._observations import Observations, TargetObservation
+from shallotgate.routing._observations import Observations
+from shallotgate.routing._preference import leave_out, prefer
 
 # Ageing of reports changes routes without a change of the view.
 _ROUTE_VALID_S = 1.0
@@ -22,22 +24,6 @@
 _NEAR_SLOWNESS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """A usable target and its owner."""
-
-    target: str
-    service: str
-    # Instance id of the owner.
-    owner: str
-    epoch: int
-    # Whether it is in this entry's failure domain.
-    near: bool
-    observation: TargetObservation
-    # Failure domain of the target.
-    domain: str = ''
-
-
 @dataclass(frozen=True)
 class Route:
     """A group's index version and the usable targets of its partitions."""
@@ -135,9 +121,7 @@
         ``warm_only`` serves hedges: only targets that are not cold and have
         room for another attempt.
         """
-        pool = candidates
-        if excluded:
-            pool = [one for one in pool if one.target not in excluded]
+        pool = leave_out(candidates, excluded)
         if warm_only:
             pool = [one for one in pool if _is_free_and_warm(one)]
         if not pool:
@@ -172,8 +156,7 @@
             return pool
         is_tight = not any(map(_is_free_and_warm, pool))
         is_drawn = is_tight or self._rng.random() < _COLD_SHARE
-        kept = [one for one in pool if _is_bearable(one, is_drawn)]
-        return kept or pool
+        return prefer(pool, lambda one: _is_bearable(one, is_drawn))
 
     def _build_route(
         self,
@@ -214,13 +197,16 @@
         now: float,
     ) -> tuple[Candidate, ...]:
         """Leave out targets of silent or refusing owners if others remain."""
-        responsive = tuple(
-            one
-            for one in candidates
-            if not one.observation.is_stale(now)
-            and not self._observations.is_avoided(one.owner)
+        responsive = prefer(
+            candidates,
+            lambda one: (
+                not (
+                    one.observation.is_stale(now)
+                    or self._observations.is_avoided(one.owner)
+                )
+            ),
         )
-        return responsive or tuple(candidates)
+        return tuple(responsive)
 
     def _list_group(self, view: View, group: str) -> Sequence[TargetPlace]:
         if self._groups_of is not view:
--- a/shallotgate/routing/_observations.py
+++ b/shallotgate/routing/_observations.py
@@ -65,6 +65,10 @@
         reported = self.state.in_flight + self.state.queued
         return max(self.in_flight, reported + self.sent_since)
 
+    def read_reported_ms(self) -> float:
+        """Return the latency that the owner reported, 0 if unknown."""
+        return self.state.latency_ms if self.state else 0
+
     def has_room(self) -> bool:
         """Return whether another attempt would run at once."""
         if self.state is None:
@@ -88,13 +92,12 @@
         """Return the expected time of an attempt in milliseconds."""
         state = self.state
         base = self.latency_ms
-        load = self.in_flight
+        load = self.read_load()
         limit = 1
         if state is not None:
-            load = max(load, state.in_flight + state.queued + self.sent_since)
             limit = state.limit or 1
             if not base or now - self.measured_at > _OWN_LATENCY_VALID_S:
-                base = state.latency_ms
+                base = self.read_reported_ms()
         # Above 0 so that load also counts where no latency is known.
         expected = (base or _UNKNOWN_MS) * (1 + load / limit)
         if self.failures and now - self.failed_at < _FAILURE_VALID_S:
--- /dev/null
+++ b/shallotgate/routing/_preference.py
@@ -0,0 +1,23 @@
+"""Rules by which targets are left out of a choice."""
+
+from collections.abc import Callable, Collection, Sequence
+
+from shallotgate.routing._candidate import Candidate
+
+
+def leave_out(
+    candidates: Sequence[Candidate],
+    excluded: Collection[str],
+) -> Sequence[Candidate]:
+    """Return the candidates whose target is not excluded."""
+    if not excluded:
+        return candidates
+    return [one for one in candidates if one.target not in excluded]
+
+
+def prefer(
+    candidates: Sequence[Candidate],
+    is_preferred: Callable[[Candidate], bool],
+) -> Sequence[Candidate]:
+    """Return the preferred candidates, or all if none is preferred."""
+    return [one for one in candidates if is_preferred(one)] or candidates
--- a/shallotgate/state/__init__.py
+++ b/shallotgate/state/__init__.py
@@ -2,5 +2,14 @@
 
 from shallotgate.state._machine import AppliedState, StateChanges, TierState
 from shallotgate.state._recent import RecentChanges
+from shallotgate.state._schema import KINDS
+from shallotgate.state._versions import covers
 
-__all__ = ('AppliedState', 'RecentChanges', 'StateChanges', 'TierState')
+__all__ = (
+    'KINDS',
+    'AppliedState',
+    'RecentChanges',
+    'StateChanges',
+    'TierState',
+    'covers',
+)
--- a/shallotgate/state/_machine.py
+++ b/shallotgate/state/_machine.py
@@ -35,6 +35,7 @@
 from shallotgate.state._once import OnceContent, OnceTable
 from shallotgate.state._ownership import OwnershipContent, OwnershipTable
 from shallotgate.state._quarantine import QuarantineContent, QuarantineTable
+from shallotgate.state._versions import covers
 
 _LOGGER = get_logger('state')
 _Handler = Callable[[Any, float], object]
@@ -210,9 +211,7 @@
         applied = self._make_applied()
         after = applied.versions
         check(
-            after.catalogue >= before.catalogue
-            and after.ownership >= before.ownership
-            and after.quarantine >= before.quarantine,
+            covers(after, before),
             'versions-only-upwards',
             before=before,
             after=after,
--- a/shallotgate/state/_schema.py
+++ b/shallotgate/state/_schema.py
@@ -20,6 +20,8 @@
         'domains': 'Domain',
     }
 )
+# Kinds of catalogue entries.
+KINDS = tuple(DEFINITIONS)
 _SCHEMA_PATH = 'schema/catalogue.yaml'
 
 
