--- a/shallotgate/routing/tests/test_owner_reports.py
+++ b/shallotgate/routing/tests/test_owner_reports.py
@@ -104,9 +104,9 @@
     """Guards against attempts that are counted as running for ever."""
     entry.observations.note_sent('t')
     entry.observations.note_reply('t', 'ok', 5)
-    assert entry.observations.observe('t').read_load() == 1
+    assert entry.observations.observe('t').read_load(entry.clock.now) == 1
     entry.hear(sequence=2, full=False)
-    assert entry.observations.observe('t').read_load() == 0
+    assert entry.observations.observe('t').read_load(entry.clock.now) == 0
 
 
 @pytest.mark.parametrize('start_id', ['s1', 's2'])
