--- a/tests/support/_load.py
+++ b/tests/support/_load.py
@@ -49,6 +49,7 @@
         # Entries that queries go to; a test may take one out.
         self.entries = list(tier.instances)
         self._tier = tier
+        self._workers = workers
         self._make_request = make_request
 
     @property
@@ -89,6 +90,23 @@
             subject,
         )
 
+    def wait_majority(self) -> None:
+        """Wait until most answers are complete.
+
+        They stay the majority whatever becomes of queries under way.
+        """
+
+        def is_majority() -> bool:
+            answers = self.answers
+            complete = sum(
+                bool(answer) and answer['outcome'] == 'complete'
+                for _, answer in answers
+            )
+            # A worker may begin one more query before the load stops.
+            return 2 * complete > len(answers) + 2 * self._workers
+
+        wait_until(is_majority, LIMIT_S, 'a majority of complete answers')
+
     def _choose_entry(self, generator: random.Random) -> str:
         return generator.choice(self.entries)
 
