Poll the report of a target only without recent replies

Cause: each owned target was polled once a second, although each reply carries the same report. That took most of a node's budget for control work.

Change: a target with a reply in the last 2 s is not polled, an idle one every 2.0 to 2.25 s instead of every 0.8 to 1.2 s. A lost target is still tried every 0.25 s. A target that is lost or restarts while idle shows it to the next attempt as before. testkit.owner_cost measures owned idle targets.

The former code reads three reports where the new test allows one.

--- a/shallotgate/targets/_worker.py
+++ b/shallotgate/targets/_worker.py
@@ -1,5 +1,6 @@
 """Threads of one pool: one for each connection."""
 
+import math
 import random
 import time
 
@@ -20,9 +21,11 @@
 # After the connection of a cancelled or late attempt was closed, its slot is
 # kept this long, so that the target notices before the next attempt arrives.
 _SETTLE_S = 0.002
-_REPORT_PERIOD_S = 1.0
+# Longest time in which a target is not observed. With jitter and a time-out it
+# stays below the time after which a claimed drain takes effect at once.
+_REPORT_PERIOD_S = 2.0
 _LOST_REPORT_PERIOD_S = 0.25
-_REPORT_JITTER = 0.2
+_REPORT_JITTER_S = 0.25
 _REPORT_TIMEOUT_S = 1.0
 # A target that accepts a single connection has none to spare for reports.
 _CONNECTIONS_WITH_REPORTS = 2
@@ -44,19 +47,33 @@
 
 
 def poll_reports(pool: TargetPool) -> None:
-    """Read the report about each second on a connection of its own."""
+    """Read the report of a target on a connection of its own.
+
+    Replies carry the same report, so that a target with recent replies is not
+    asked.
+    """
     connection: TargetConnection | None = None
     while not pool.closing.is_set():
-        connection = _poll(pool, connection)
-        period_s = _REPORT_PERIOD_S
+        unobserved_s = _measure_unobserved_s(pool)
+        if unobserved_s >= _REPORT_PERIOD_S:
+            connection = _poll(pool, connection)
+            unobserved_s = 0
+        period_s = _REPORT_PERIOD_S - unobserved_s
         if pool.core.is_lost:
             period_s = _LOST_REPORT_PERIOD_S
-        jitter = random.uniform(-_REPORT_JITTER, _REPORT_JITTER)  # noqa: S311
-        pool.closing.wait(period_s * (1 + jitter))
+        jitter = random.uniform(0, _REPORT_JITTER_S)  # noqa: S311
+        pool.closing.wait(period_s + jitter)
     if connection is not None:
         connection.close()
 
 
+def _measure_unobserved_s(pool: TargetPool) -> float:
+    """Return the seconds since the last reply; infinite for a lost target."""
+    if pool.core.is_lost:
+        return math.inf
+    return time.monotonic() - pool.core.seen.reply_at
+
+
 def _poll(
     pool: TargetPool,
     connection: TargetConnection | None,
--- a/shallotgate/targets/tests/fakes.py
+++ b/shallotgate/targets/tests/fakes.py
@@ -58,6 +58,7 @@
         self.connections = []
         self.opening = 0
         self.most_opening = 0
+        self.reports_read = 0
         self._born = time.monotonic()
 
     def restart(self):
@@ -103,6 +104,7 @@
     def read_report(self, timeout_s):
         if self.target.is_down or self.broken.is_set():
             raise TargetLostError('down')
+        self.target.reports_read += 1
         return self.target.report(**self.target.report_lie)
 
     def run(self, attempt, timeout_s):
--- a/shallotgate/targets/tests/test_owned.py
+++ b/shallotgate/targets/tests/test_owned.py
@@ -259,6 +259,18 @@
     wait_until(lambda: rig.run(epoch=3).status == 'ok', 'the new ownership')
 
 
+def test_report_is_read_only_without_recent_replies(make_rig):
+    """Guards against polls that tell what each reply has told already."""
+    rig = make_rig()
+    assert rig.run().status == 'ok'
+    until = time.monotonic() + 3
+    while time.monotonic() < until:
+        assert rig.run().status == 'ok'
+        time.sleep(0.05)
+    assert rig.edge.reports_read <= 1
+    wait_until(lambda: rig.edge.reports_read > 1, 'the polls of an idle target')
+
+
 def test_other_owner_closes_the_pool(make_rig):
     """Guards against two owners that dispatch to one target."""
     rig = make_rig()
--- a/testkit/owner_cost.py
+++ b/testkit/owner_cost.py
@@ -5,16 +5,18 @@
 a bare loop of urllib3's connection class, the same loop without urllib3's
 response wrapper, and the whole owner path from ``submit`` to the reply. It
 prints the CPU time of this process for each attempt; that of the stand-in is
-not in it.
+not in it. With ``--idle-targets N`` it measures instead what it costs to own
+targets that are idle, and targets that each get one attempt in a while.
 """
 
 import contextlib
+import math
 import queue
 import statistics
 import sys
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from http import client as http_client
 from types import MappingProxyType
 
@@ -40,6 +42,9 @@
 _US_PER_S = 1_000_000
 _TIMEOUT_S = 10.0
 _VERSION = 7
+# Time for replies to be no longer recent.
+_SETTLE_S = 5.0
+_ATTEMPT_PERIODS_S = (math.inf, 1.0, 0.25)
 _RUN_PATH = '/v1/run'
 _POST = 'POST'
 
@@ -57,11 +62,11 @@
         return Done(changed=False)
 
 
-def _make_attempt(number: int) -> Attempt:
+def _make_attempt(number: int, target: str = 't') -> Attempt:
     return Attempt(
         attempt_id=f'attempt-{number}',
         request_id=f'request-{number}',
-        target='t',
+        target=target,
         epoch=1,
         group='g',
         service='s',
@@ -157,26 +162,32 @@
     return time.process_time() - started
 
 
-def _make_view(address: str, slots: int) -> View:
-    target = Target(
-        name='t',
-        address=address,
-        domain='d',
-        slots=slots,
-        connections=slots + 2,
-    )
-    service = Service(owner='o', group='g', targets=[target])
+def _make_view(address: str, slots: int, names: Sequence[str]) -> View:
+    targets = [
+        Target(
+            name=name,
+            address=address,
+            domain='d',
+            slots=slots,
+            connections=slots + 2,
+        )
+        for name in names
+    ]
+    service = Service(owner='o', group='g', targets=targets)
     catalogue = Catalogue(version=1, services={'s': service})
-    ownership = Ownership(
-        target='t',
-        instance='i',
-        start_id='i-1',
-        epoch=1,
-        state='held',
-    )
+    ownership = {
+        name: Ownership(
+            target=name,
+            instance='i',
+            start_id='i-1',
+            epoch=1,
+            state='held',
+        )
+        for name in names
+    }
     return View(
         catalogue=catalogue,
-        ownership=MappingProxyType({'t': ownership}),
+        ownership=MappingProxyType(ownership),
         quarantine=MappingProxyType({}),
         instances=MappingProxyType({}),
         versions=Versions(),
@@ -218,6 +229,8 @@
     attempts: int = 3000,
     rounds: int = 5,
     service_ms: float = 1,
+    idle_targets: int = 0,
+    seconds: float = 20,
 ) -> None:
     """Measure and print the costs.
 
@@ -225,12 +238,16 @@
     :param attempts: Attempts in each round.
     :param rounds: Rounds of each way, taken in turn.
     :param service_ms: Service time of the stand-in in milliseconds.
+    :param idle_targets: Measure the cost of this many owned targets instead.
+    :param seconds: Time of that measurement for each rate of attempts.
     """
+    names = [f't-{number}' for number in range(idle_targets)] or ['t']
     standin = StandinProcess(
         't',
         [
             f'--slots={slots}',
             f'--service-ms={service_ms}',
+            f'--connections={len(names) * (slots + 2)}',
             '--versions',
             f'{_VERSION}:4:0,2',
         ],
@@ -239,12 +256,56 @@
     timers = TimerService()
     timers.start()
     view = TierView()
-    view.replace(_make_view(standin.address, slots))
+    view.replace(_make_view(standin.address, slots, names))
     owned = _open_owner(view, timers)
     with contextlib.ExitStack() as stack:
         for stop in (standin.stop, timers.stop, owned.stop):
             stack.callback(stop)
-        _print_costs(_measure(standin.port, owned, slots, attempts, rounds))
+        if idle_targets:
+            _print_idle_costs(owned, names, seconds)
+        else:
+            samples = _measure(standin.port, owned, slots, attempts, rounds)
+            _print_costs(samples)
+
+
+def _print_idle_costs(
+    owned: OwnedTargets,
+    names: Sequence[str],
+    seconds: float,
+) -> None:
+    for every_s in _ATTEMPT_PERIODS_S:
+        spent_s, sent = _run_spread(owned, names, seconds, every_s)
+        work = f'{sent} attempts' if sent else 'idle'
+        sys.stdout.write(
+            f'{len(names)} targets for {seconds:.0f} s, {work}: '
+            f'{spent_s / seconds:.2%} of a core\n',
+        )
+
+
+def _run_spread(
+    owned: OwnedTargets,
+    names: Sequence[str],
+    seconds: float,
+    every_s: float,
+) -> tuple[float, int]:
+    """Return CPU seconds and attempts; each target has one in ``every_s``."""
+    replies: queue.SimpleQueue[AttemptReply] = queue.SimpleQueue()
+    # Connections are opened before the measurement.
+    for number, name in enumerate(names):
+        owned.submit(_make_attempt(number, name), replies.put)
+        replies.get(timeout=_TIMEOUT_S)
+    time.sleep(_SETTLE_S)
+    sent = 0
+    started = time.process_time()
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        if every_s == math.inf:
+            time.sleep(seconds)
+            break
+        owned.submit(_make_attempt(sent, names[sent % len(names)]), replies.put)
+        sent += 1
+        time.sleep(every_s / len(names))
+    return time.process_time() - started, sent
 
 
 def _measure(
