Race operators from the newest accepted version

Cause: the test took the version in force on the leader as base. Change: the base comes from the answer to a change, accepted or in conflict, which names the newest accepted version. The check of one winner is the same.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -216,9 +216,20 @@
     return {'op': 'put', 'kind': 'callers', 'name': 'tellers', 'spec': spec}
 
 
+def read_accepted_version(tier, generator):
+    """Return the newest accepted version, by an answer to a change.
+
+    The version in force on an instance may be behind it.
+    """
+    leader = find_leader(tier)
+    known = tier.clients.read_version(leader)
+    change = make_change(known, choose_name(generator))
+    return send_change(tier, leader, change).content['version']
+
+
 def test_one_of_racing_operators_wins(tier, generator):
     """Guards against two changes that both replace the same version."""
-    base = tier.clients.read_version(find_leader(tier))
+    base = read_accepted_version(tier, generator)
     entries = list(tier.instances)
     names = [f'{choose_name(generator)}-{turn}' for turn in range(RACERS)]
     barrier = threading.Barrier(RACERS)
