--- a/shallotgate/targets/__init__.py
+++ b/shallotgate/targets/__init__.py
@@ -9,6 +9,7 @@
 from shallotgate.targets._http import MAX_REPLY_BYTES, HttpTargetEdge
 from shallotgate.targets._owned import OwnedTargets
 from shallotgate.targets._platform import PlatformList
+from shallotgate.targets._pools import list_wanted
 from shallotgate.targets._server import OwnerServer
 from shallotgate.targets._work import OnReply
 
@@ -23,4 +24,5 @@
     'TargetEdge',
     'TargetReply',
     'TargetReport',
+    'list_wanted',
 )
--- a/shallotgate/targets/_pools.py
+++ b/shallotgate/targets/_pools.py
@@ -21,7 +21,7 @@
     learnt: Learnt | None
 
 
-def _list_wanted(
+def list_wanted(
     view: View,
     owner: tuple[str, str] | None,
 ) -> dict[str, Wanted]:
@@ -65,7 +65,7 @@
         owner: tuple[str, str] | None,
     ) -> Mapping[str, Wanted]:
         """Return the targets to serve by name; none while stopping."""
-        return {} if self.is_stopping else _list_wanted(view, owner)
+        return {} if self.is_stopping else list_wanted(view, owner)
 
     def get(self, name: str) -> TargetPool | None:
         """Return the open pool of a target."""
