--- /dev/null
+++ b/shallotgate/aio/_link.py
@@ -0,0 +1,199 @@
+"""One connection to a target."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from shallotgate.aio._message import Headers
+from shallotgate.errors import (
+    TargetConnectError,
+    TargetLostError,
+    TargetProtocolError,
+)
+
+# Largest reply that is kept; a longer one is no valid reply.
+_MAX_REPLY_BYTES = 64 * 1024 * 1024
+# A target closes idle connections itself; one is given up this much earlier,
+# because a request that crosses the close may or may not have run.
+_KEEP_ALIVE_MARGIN_S = 0.5
+_CLOSE = b'close'
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A complete response of a target."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class TargetLink(asyncio.Protocol):
+    """Sends one request at a time and reads its reply.
+
+    A reply that belongs to another request is skipped. After anything else
+    that is out of order the link is closed and not used again.
+    """
+
+    def __init__(self, on_close: Callable[['TargetLink'], None]) -> None:
+        self._on_close = on_close
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiter: asyncio.Future[Reply] | None = None
+        # Tells whether a reply's headers belong to the request.
+        self._is_own: Callable[[Headers], bool] | None = None
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._in_reply = False
+        # Whether the length of the reply under way is stated.
+        self._is_framed = False
+        self._expects_close = False
+        self.is_usable = False
+        # Monotonic time until which the target keeps the link open when idle.
+        self.kept_until = float('inf')
+
+    @classmethod
+    async def open(
+        cls,
+        address: str,
+        timeout_s: float,
+        on_close: Callable[['TargetLink'], None],
+    ) -> 'TargetLink':
+        """Connect to a target; raises ``TargetConnectError``."""
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, link = await loop.create_connection(
+                    lambda: cls(on_close),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise TargetConnectError(f'{address}: {error!r}') from error
+        return link
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note that the link can be used."""
+        # Transports of uvloop are no subclass of those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        self.is_usable = True
+
+    def send(
+        self,
+        request: bytes,
+        is_own: Callable[[Headers], bool],
+    ) -> 'asyncio.Future[Reply]':
+        """Send a request; the future fails with a ``TargetError``."""
+        assert self._transport is not None
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._is_own = is_own
+        self._transport.write(request)
+        return self._waiter
+
+    def close(self) -> None:
+        """Close the link; a request under way is cancelled by that."""
+        self.is_usable = False
+        if self._transport is not None:
+            # Sent at once, also if bytes wait to be written.
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if self._waiter is None:
+            # Bytes that belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(TargetProtocolError(f'not a reply: {error!r}'))
+
+    def eof_received(self) -> bool:
+        """Complete a reply whose end is the end of the connection."""
+        if self._in_reply and not self._is_framed:
+            self._expects_close = True
+            self.on_message_complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request under way."""
+        self.is_usable = False
+        self._fail(TargetLostError(f'connection lost: {exc!r}'))
+        self._on_close(self)
+
+    def on_message_begin(self) -> None:
+        """Begin a reply."""
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+        self._in_reply = True
+        self._is_framed = False
+        if self._waiter is None:
+            # More bytes came after a complete reply.
+            self.close()
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take up a header."""
+        self._headers.append((name, text))
+
+    def on_headers_complete(self) -> None:
+        """Note how the reply is framed and for how long the link is kept."""
+        self._expects_close = not self._parser.should_keep_alive()
+        for name, text in self._headers:
+            key = name.lower()
+            if key in {b'content-length', b'transfer-encoding'}:
+                self._is_framed = True
+            elif key == b'keep-alive':
+                self._note_keep_alive(text)
+            elif key == b'connection' and text.lower() == _CLOSE:
+                self._expects_close = True
+
+    def on_body(self, body: bytes) -> None:
+        """Take up a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > _MAX_REPLY_BYTES:
+            self._fail(TargetProtocolError('the reply is too long'))
+
+    def on_message_complete(self) -> None:
+        """Hand the reply to whoever waits for it."""
+        if not self._in_reply:
+            return
+        self._in_reply = False
+        status = self._parser.get_status_code()
+        if status < 200 or self._waiter is None:
+            return
+        if self._is_own is not None and not self._is_own(self._headers):
+            # A late reply to an earlier request; the own one may follow.
+            self.is_usable = False
+            return
+        waiter = self._waiter
+        self._waiter = None
+        if not waiter.done():
+            waiter.set_result(
+                Reply(status, self._headers, b''.join(self._body)),
+            )
+        if self._expects_close or not self.is_usable:
+            self.close()
+
+    def _note_keep_alive(self, text: bytes) -> None:
+        for part in text.split(b','):
+            key, _, seconds = part.strip().partition(b'=')
+            if key.lower() == b'timeout' and seconds.isdigit():
+                idle_s = max(int(seconds) - _KEEP_ALIVE_MARGIN_S, 0)
+                self.kept_until = time.monotonic() + idle_s
+
+    def _fail(self, error: Exception) -> None:
+        waiter = self._waiter
+        self._waiter = None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(error)
+            # Nobody may wait any more.
+            waiter.exception()
+        self.close()
--- /dev/null
+++ b/shallotgate/aio/_message.py
@@ -0,0 +1,60 @@
+"""Requests and responses."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+# Names are as received; order and repetition are kept.
+Headers = list[tuple[bytes, bytes]]
+
+_LINE_END = b'\r\n'
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
+
+
+@dataclass(frozen=True)
+class IncomingRequest:
+    """A whole request of a caller."""
+
+    method: bytes
+    # Path with the query, as received.
+    path: bytes
+    headers: Headers
+    body: bytes
+    # Monotonic time at which its last byte came, in seconds.
+    received_at: float
+
+    def read_header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; the name is in lower case."""
+        for key, text in self.headers:
+            if key.lower() == name:
+                return text
+        return None
+
+
+@dataclass(frozen=True)
+class Response:
+    """Answer to a caller."""
+
+    status: int
+    body: bytes = b''
+    # Without those that concern the connection or the length.
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def encode(self, *, keep_open: bool, has_body: bool = True) -> bytes:
+        """Return the bytes to send.
+
+        ``has_body`` is false for the answer to HEAD.
+        """
+        lines = [b'HTTP/1.1 %d %s' % (self.status, _phrase(self.status))]
+        lines.extend(b'%s: %s' % header for header in self.headers)
+        if self.status not in {204, 304}:
+            lines.append(b'Content-Length: %d' % len(self.body))
+        if not keep_open:
+            lines.append(b'Connection: close')
+        head = _LINE_END.join(lines) + _LINE_END + _LINE_END
+        return head + self.body if has_body else head
--- /dev/null
+++ b/shallotgate/aio/_server.py
@@ -0,0 +1,276 @@
+"""HTTP server with one task for each connection."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from shallotgate.aio._message import Headers, IncomingRequest, Response
+from shallotgate.logs import get_logger
+
+_LOGGER = get_logger('http')
+# Seconds between two looks for connections that idle or are too slow.
+_SWEEP_S = 0.5
+# Connections that wait to be accepted.
+_BACKLOG = 1024
+# Requests of one connection that wait while another is served; a caller that
+# sends more at once is not read from.
+_MAX_PIPELINED = 16
+_MS_PER_S = 1000
+
+Handler = Callable[[IncomingRequest], Awaitable[Response]]
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """What a caller may send, and how long it may take."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 256 * 1024
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15000
+
+
+class _Rejected(Exception):
+    """A request that is answered without being handled."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _Connection(asyncio.Protocol):
+    """One connection of a caller; its task handles one request at a time."""
+
+    def __init__(self, server: 'AsyncHttpServer') -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: deque[IncomingRequest] = deque()
+        self._arrived = asyncio.Event()
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._begin()
+        self.is_busy = False
+        # Monotonic time since which the connection has been without request.
+        self.idle_since = time.monotonic()
+        # Monotonic time of the first byte of an incomplete request.
+        self.begun_at = float('inf')
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the task of the connection."""
+        # Transports of uvloop are no subclass of those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        self._server.connections.add(self)
+        self._task = asyncio.ensure_future(self._serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        try:
+            self._parser.feed_data(data)
+        except _Rejected as error:
+            self._reject(error.status)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            is_known = isinstance(cause, _Rejected)
+            self._reject(cause.status if is_known else 400)  # type: ignore
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+        except httptools.HttpParserError as error:
+            _LOGGER.info('Request can not be parsed: %s.', error)
+            self._reject(400)
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as closed."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what is under way for the caller."""
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def on_message_begin(self) -> None:
+        """Begin another request."""
+        self._begin()
+        self.begun_at = time.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        """Take up a part of the path."""
+        self._url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take up a header."""
+        self._headers.append((name, text))
+        self._count_header(len(name) + len(text))
+
+    def on_headers_complete(self) -> None:
+        """Let a caller go on that waits for a word before its body."""
+        for name, text in self._headers:
+            if name.lower() == b'expect' and self._transport is not None:
+                self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, body: bytes) -> None:
+        """Take up a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits().max_body_bytes:
+            raise _Rejected(413)
+
+    def on_message_complete(self) -> None:
+        """Hand the request to the task."""
+        now = time.monotonic()
+        self.begun_at = float('inf')
+        request = IncomingRequest(
+            method=self._parser.get_method(),
+            path=bytes(self._url),
+            headers=self._headers,
+            body=b''.join(self._body),
+            received_at=now,
+        )
+        self._requests.append(request)
+        self._arrived.set()
+        if len(self._requests) >= _MAX_PIPELINED and self._transport:
+            self._transport.pause_reading()
+
+    def is_overdue(self, now: float, limits: ServerLimits) -> bool:
+        """Return whether the caller idles or takes too long."""
+        if now - self.begun_at > limits.header_timeout_ms / _MS_PER_S:
+            return True
+        if self.is_busy or self.begun_at <= now:
+            return False
+        return now - self.idle_since > limits.idle_timeout_ms / _MS_PER_S
+
+    def close(self) -> None:
+        """Close a connection that has no request."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _begin(self) -> None:
+        self._url = bytearray()
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _count_header(self, amount: int) -> None:
+        self._header_bytes += amount
+        if self._header_bytes > self._server.limits().max_header_bytes:
+            raise _Rejected(431)
+
+    def _reject(self, status: int) -> None:
+        """Answer and close; the rest of the input can't be trusted."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not self.is_busy:
+            answer = Response(status).encode(keep_open=False)
+            self._transport.write(answer)
+        self._transport.close()
+
+    async def _serve(self) -> None:
+        while True:
+            await self._arrived.wait()
+            while self._requests:
+                self.is_busy = True
+                request = self._requests.popleft()
+                self._write(request, await self._answer(request))
+                self.is_busy = False
+            self._arrived.clear()
+            self.idle_since = time.monotonic()
+            if self._transport is not None:
+                self._transport.resume_reading()
+
+    async def _answer(self, request: IncomingRequest) -> Response:
+        try:
+            return await self._server.handler(request)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            _LOGGER.exception('A request handler failed.')
+            return Response(500)
+
+    def _write(self, request: IncomingRequest, response: Response) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        connection = request.read_header(b'connection')
+        keep_open = not self._server.is_closing and (
+            connection is None or connection.lower() != b'close'
+        )
+        has_body = request.method != b'HEAD'
+        transport.write(response.encode(keep_open=keep_open, has_body=has_body))
+        if not keep_open:
+            transport.close()
+
+
+class AsyncHttpServer:
+    """Serves requests of one address on the running event loop."""
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: Callable[[], ServerLimits] = ServerLimits,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[_Connection] = set()
+        # Whether answers ask callers to connect anew.
+        self.is_closing = False
+        self._address = address
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen; raises ``OSError`` if the address is taken."""
+        host, _, port = self._address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self),
+            host,
+            int(port),
+            backlog=_BACKLOG,
+            family=socket.AF_INET,
+        )
+        self._sweeper = asyncio.ensure_future(self._sweep())
+
+    def announce_close(self) -> None:
+        """Ask callers in each answer to use another connection."""
+        self.is_closing = True
+
+    def close_idle(self) -> None:
+        """Stop to listen and close connections without a request."""
+        self.is_closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self.connections):
+            if not connection.is_busy and connection.begun_at == float('inf'):
+                connection.close()
+
+    @property
+    def busy_count(self) -> int:
+        """Connections with a request that is not answered yet."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self.close_idle()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._sweeper
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            now = time.monotonic()
+            limits = self.limits()
+            for connection in tuple(self.connections):
+                if connection.is_overdue(now, limits):
+                    connection.close()
--- a/shallotgate/consensus/_changes.py
+++ b/shallotgate/consensus/_changes.py
@@ -2,6 +2,8 @@
 
 import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from functools import partial
 
 from shallotgate.consensus._core import Core
@@ -44,6 +46,36 @@
         finally:
             self._lock.release()
 
+    def admit(self, leadership: Leadership, instance: str) -> None:
+        """Add a member without a vote; it gets one once it caught up.
+
+        Raises ``ConsensusError`` if that was not committed in time.
+        """
+        with self._exclusive():
+            with self._core.changed:
+                group = self._core.journal.group
+                identity = leadership.identities.get(instance)
+            if identity is None or group.find(instance) is not None:
+                return
+            self._commit_group(
+                leadership,
+                group.with_learner(instance, identity),
+                time.monotonic() + _RESUME_S,
+            )
+        self._leader.replicate_to(leadership, instance)
+
+    def remove(self, leadership: Leadership, instance: str) -> None:
+        """Remove a member; raises ``ConsensusError`` if it can't be done."""
+        with self._exclusive():
+            self._require_live_majority(leadership, instance)
+            with self._core.changed:
+                group = self._core.journal.group
+            self._commit_group(
+                leadership,
+                group.without(instance),
+                time.monotonic() + _RESUME_S,
+            )
+
     def follow_leadership(self, is_leading: bool) -> None:
         """Begin to resume replacements when this member leads.
 
@@ -96,6 +128,15 @@
             deadline,
         )
 
+    @contextmanager
+    def _exclusive(self) -> Iterator[None]:
+        if not self._lock.acquire(timeout=_RESUME_S):
+            raise ConsensusError('another change of the group is under way')
+        try:
+            yield
+        finally:
+            self._lock.release()
+
     def _resume(self, leadership: Leadership) -> None:
         """Finish replacements until the end of a leadership."""
         core = self._core
@@ -211,13 +252,7 @@
         """Refuse a removal after which nothing could be committed."""
         core = self._core
         with core.changed:
-            others = Group(
-                tuple(
-                    member
-                    for member in core.journal.group.members
-                    if member.instance != instance
-                ),
-            )
+            others = core.journal.group.without(instance)
             live = leadership.list_caught_up(others, core.times.lease_s)
             live_instances = {progress.instance for progress in live}
         if len(live_instances) + 1 < others.quorum:
@@ -233,9 +268,20 @@
     ) -> None:
         with self._core.changed:
             group = self._core.journal.group
-        changed = group.with_member(instance, identity, voter=voter)
+        self._commit_group(
+            leadership,
+            group.with_member(instance, identity, voter=voter),
+            deadline,
+        )
+
+    def _commit_group(
+        self,
+        leadership: Leadership,
+        group: Group,
+        deadline: float,
+    ) -> None:
         self._leader.propose(
-            Proposal('members', encode_group(changed)),
+            Proposal('members', encode_group(group)),
             deadline - time.monotonic(),
             expected=leadership,
         )
--- a/shallotgate/consensus/_founding.py
+++ b/shallotgate/consensus/_founding.py
@@ -76,13 +76,21 @@
         """Tell the leader of an identity that has no vote; worker only."""
         core = self._core
         now = time.monotonic()
-        if core.is_voter or now < self._join_at:
+        if now < self._join_at or not self._wants_to_join(now):
             return
         self._join_at = now + core.times.join_s
         message = JoinGroup(instance=core.instance, identity=core.identity)
-        for instance in self._list_others():
+        known = {member.instance for member in core.journal.group.members}
+        for instance in known.union(self._instances) - {core.instance}:
             send_or_drop(core.mailbox, instance, message)
 
+    def _wants_to_join(self, now: float) -> bool:
+        core = self._core
+        if not core.is_voter:
+            return True
+        silence_s = now - core.heard_at
+        return core.leadership is None and silence_s > core.times.rejoin_s
+
     def _list_others(self) -> list[str]:
         return [
             instance
@@ -194,8 +202,10 @@
         message: JoinGroup = delivery.message
         core = self._core
         if core.leadership is None:
+            self._pass_on(message)
             return
         with core.changed:
+            core.leadership.joins[message.instance] = time.monotonic()
             known = core.leadership.identities.get(message.instance)
             core.leadership.identities[message.instance] = message.identity
         if known != message.identity:
@@ -206,3 +216,9 @@
                     'identity': message.identity,
                 },
             )
+
+    def _pass_on(self, message: JoinGroup) -> None:
+        # Seeds need not include the leader.
+        leader = self._core.leader
+        if leader is not None and leader != message.instance:
+            send_or_drop(self._core.mailbox, leader, message)
--- a/shallotgate/consensus/_group.py
+++ b/shallotgate/consensus/_group.py
@@ -71,6 +71,25 @@
             ),
         )
 
+    def with_learner(self, instance: str, identity: str) -> 'Group':
+        """Return the group with one more member, which has no vote yet."""
+        learner = MemberIdentity(
+            instance=instance,
+            identity=identity,
+            voter=False,
+        )
+        return Group((*self.members, learner))
+
+    def without(self, instance: str) -> 'Group':
+        """Return the group without the member of one instance."""
+        return Group(
+            tuple(
+                member
+                for member in self.members
+                if member.instance != instance
+            ),
+        )
+
 
 def encode_group(group: Group) -> bytes:
     """Encode a group as the payload of a members record."""
--- a/shallotgate/consensus/_leader.py
+++ b/shallotgate/consensus/_leader.py
@@ -42,6 +42,13 @@
         _LOGGER.info('Leading.', extra={'term': core.term})
         self._flush()
 
+    def replicate_to(self, leadership: Leadership, instance: str) -> None:
+        """Start to send records to a member that was added."""
+        thread = self._make_thread(leadership, instance)
+        with self._core.changed:
+            leadership.threads.append(thread)
+        thread.start()
+
     def tick(self) -> None:
         """Step down if no majority has answered; worker only."""
         core = self._core
--- a/shallotgate/consensus/_leadership.py
+++ b/shallotgate/consensus/_leadership.py
@@ -40,6 +40,8 @@
         self.progress: dict[str, Progress] = {}
         # Identity last heard from each instance.
         self.identities: dict[str, str] = {}
+        # Monotonic time of the last request to join, by instance.
+        self.joins: dict[str, float] = {}
         self.waiting: list[Proposal] = []
         # Set once a record of this term is applied.
         self.is_ready = False
@@ -102,6 +104,12 @@
         ]
         return sorted(live, key=lambda progress: progress.match, reverse=True)
 
+    def read_member_silence_s(self, identity: str) -> float:
+        """Return for how long a member has not answered, in seconds."""
+        progress = self.progress.get(identity)
+        acked_at = progress.acked_at if progress else float('-inf')
+        return time.monotonic() - max(acked_at, self._started_at)
+
     def _read_quorum_ack(self, group: Group) -> float:
         acks = {
             identity: progress.acked_at
--- a/shallotgate/consensus/_replicator.py
+++ b/shallotgate/consensus/_replicator.py
@@ -166,4 +166,5 @@
         return self._is_closed() or (self._is_answered and is_behind)
 
     def _is_closed(self) -> bool:
-        return self._leadership.is_closed
+        group = self._core.journal.group
+        return self._leadership.is_closed or group.find(self._instance) is None
--- a/shallotgate/consensus/_times.py
+++ b/shallotgate/consensus/_times.py
@@ -32,3 +32,14 @@
     message_bytes: int = 1024 * 1024
     # Wait between two attempts to found or join a group.
     join_s: float = 0.5
+    # A voter that hears no leader for this long asks to join: it may have
+    # been removed from the group. Longer than an election takes.
+    rejoin_s: float = 3.0
+    # A silent member makes room for one that asks to join after this time,
+    # which is longer than an answer takes on a disk that syncs slowly.
+    replace_silent_s: float = 1.5
+    # Without anyone asking to join, a silent member of an even group, which
+    # tolerates no more losses than the group without it, leaves after this.
+    drop_silent_s: float = 4.0
+    # A request to join counts for this long.
+    join_valid_s: float = 2.0
--- /dev/null
+++ b/shallotgate/gateway/__init__.py
@@ -0,0 +1,31 @@
+"""Data path of an entry: requests by route, fan-outs, second attempts."""
+
+from shallotgate.gateway._budget import ExtraAllowance, ExtraBudget
+from shallotgate.gateway._choice import TargetChooser
+from shallotgate.gateway._directory import Directory, Target
+from shallotgate.gateway._follower import TierFollower
+from shallotgate.gateway._gateway import Gateway
+from shallotgate.gateway._gather import merge_records
+from shallotgate.gateway._report import RequestReporter
+from shallotgate.gateway._wire import (
+    CallerRequest,
+    ReplyFacts,
+    TargetLoad,
+    Wire,
+)
+
+__all__ = (
+    'CallerRequest',
+    'Directory',
+    'ExtraAllowance',
+    'ExtraBudget',
+    'Gateway',
+    'ReplyFacts',
+    'RequestReporter',
+    'Target',
+    'TargetChooser',
+    'TargetLoad',
+    'TierFollower',
+    'Wire',
+    'merge_records',
+)
--- /dev/null
+++ b/shallotgate/gateway/_calls.py
@@ -0,0 +1,31 @@
+"""One attempt of a caller while it is served."""
+
+import time
+from dataclasses import dataclass, field
+
+from shallotgate.gateway._trace import RequestTrace
+from shallotgate.gateway._wire import CallerRequest
+from shallotgate.routes import Route
+
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, eq=False)
+class Call:
+    """A request, its route and its times in monotonic seconds."""
+
+    caller: CallerRequest
+    body: bytes
+    route: Route
+    received_at: float
+    # When the caller or the operator no longer wants an answer.
+    deadline: float
+    trace: RequestTrace = field(default_factory=RequestTrace)
+
+    def left_s(self) -> float:
+        """Return the seconds left."""
+        return self.deadline - time.monotonic()
+
+    def left_ms(self) -> int:
+        """Return the whole milliseconds left, at least one."""
+        return max(int(self.left_s() * _MS_PER_S), 1)
--- /dev/null
+++ b/shallotgate/gateway/_directory.py
@@ -0,0 +1,111 @@
+"""Targets that requests may be sent to."""
+
+import time
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from shallotgate.gateway._health import TargetHealth
+from shallotgate.gateway._pool import LinkPool
+from shallotgate.generated.messages import ListedTarget, ListingUpdate
+from shallotgate.logs import get_logger
+
+_LOGGER = get_logger('directory')
+_MS_PER_S = 1000
+
+
+@dataclass(eq=False)
+class Target:
+    """A listed target and what this entry holds for it."""
+
+    listed: ListedTarget
+    pool: LinkPool
+    # Monotonic time until which the target is cold.
+    cold_until: float = 0
+    health: TargetHealth = field(default_factory=TargetHealth)
+
+
+class Directory:
+    """Targets by service, as the leader last told."""
+
+    def __init__(self) -> None:
+        self.source = ''
+        self.revision = -1
+        self.domains_out: frozenset[str] = frozenset()
+        self.domains_revision = -1
+        self._targets: dict[str, Target] = {}
+        self._by_service: dict[str, list[Target]] = {}
+
+    def list_usable(self, service: str) -> Sequence[Target]:
+        """Return the targets of a service that may get new work."""
+        return [
+            target
+            for target in self._by_service.get(service, ())
+            if not target.listed.leaving
+            and target.listed.domain not in self.domains_out
+        ]
+
+    def set_domains_out(self, revision: int, out: Iterable[str]) -> None:
+        """Take failure domains out of service, and all others back in."""
+        if revision <= self.domains_revision:
+            return
+        self.domains_revision = revision
+        self.domains_out = frozenset(out)
+        _LOGGER.info(
+            'Domains out of service changed.',
+            extra={'revision': revision, 'out': sorted(self.domains_out)},
+        )
+
+    def update(self, update: ListingUpdate) -> None:
+        """Take up a new list or its changes."""
+        if update.full:
+            kept = {listed.target for listed in update.targets}
+            gone = [name for name in self._targets if name not in kept]
+        else:
+            gone = list(update.gone)
+        for name in gone:
+            self._remove(name)
+        for listed in update.targets:
+            self._put(listed)
+        self.source = update.source
+        self.revision = update.revision
+        self._by_service = {}
+        for target in self._targets.values():
+            group = self._by_service.setdefault(target.listed.service, [])
+            group.append(target)
+
+    def forget_misdirected(self, target: Target) -> None:
+        """Stop to use a target whose address belongs to another one now."""
+        if self._targets.get(target.listed.target) is target:
+            group = self._by_service.get(target.listed.service, [])
+            if target in group:
+                group.remove(target)
+            target.pool.close()
+
+    def _put(self, listed: ListedTarget) -> None:
+        known = self._targets.get(listed.target)
+        cold_until = time.monotonic() + listed.warm_up_ms / _MS_PER_S
+        if known is None or known.listed.address != listed.address:
+            if known is not None:
+                known.pool.close()
+            pool = LinkPool(listed.address)
+            self._targets[listed.target] = Target(listed, pool, cold_until)
+            _LOGGER.info('Target listed.', extra=_describe(listed))
+            return
+        if known.listed.leaving != listed.leaving:
+            _LOGGER.info('Target changed.', extra=_describe(listed))
+        known.listed = listed
+        known.cold_until = cold_until
+
+    def _remove(self, name: str) -> None:
+        target = self._targets.pop(name, None)
+        if target is not None:
+            target.pool.close()
+            _LOGGER.info('Target gone.', extra=_describe(target.listed))
+
+
+def _describe(listed: ListedTarget) -> dict[str, object]:
+    return {
+        'target': listed.target,
+        'service': listed.service,
+        'leaving': listed.leaving,
+    }
--- /dev/null
+++ b/shallotgate/gateway/_dispatch.py
@@ -0,0 +1,197 @@
+"""Sends one request to one service, with a second attempt where it pays."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Literal
+
+from shallotgate.aio import Reply
+from shallotgate.errors import TargetConnectError
+from shallotgate.gateway._attempt import Attempt
+from shallotgate.gateway._budget import ExtraBudget
+from shallotgate.gateway._calls import Call
+from shallotgate.gateway._choice import TargetChooser
+from shallotgate.gateway._directory import Directory, Target
+from shallotgate.gateway._latency import RecentLatency
+from shallotgate.gateway._wire import Wire
+
+_MS_PER_S = 1000
+# Attempts of one request on one service, those that never ran included.
+_MAX_SENDS = 4
+# A second attempt starts when the first has taken longer than this share of
+# recent replies, times the factor.
+_HEDGE_QUANTILE = 0.9
+_HEDGE_FACTOR = 1.3
+# Least wait for a second attempt, in milliseconds: timers are no finer.
+_HEDGE_MIN_MS = 3.0
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What became of a request on one service."""
+
+    status: Literal['answered', 'failed', 'not_run', 'unknown']
+    # The reply to hand on: an answer, or a failure that the target signed.
+    reply: Reply | None = None
+    signature: bytes = b''
+
+
+@dataclass(frozen=True, eq=False)
+class ServicePorts:
+    """What a dispatch needs of the entry, for one service."""
+
+    wire: Wire
+    directory: Directory
+    chooser: TargetChooser
+    budget: ExtraBudget
+    # Recent replies to the route.
+    latency: RecentLatency
+    # Links that this entry may have open to one target.
+    max_links: int
+    on_event: Callable[[str], None]
+
+
+class Dispatch:
+    """One request on one service; ``run`` is called once."""
+
+    def __init__(self, ports: ServicePorts, call: Call, service: str) -> None:
+        self._ports = ports
+        self._call = call
+        self._service = service
+        self._live: dict[asyncio.Future[Reply], Attempt] = {}
+        self._tried: list[Target] = []
+        self._sends = 0
+        # Attempts that ran or may have run.
+        self._runs = 0
+        self._failure: Reply | None = None
+        self._hedge_at = float('inf')
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have begun the request."""
+        return self._runs > 0
+
+    async def run(self) -> Outcome:
+        """Return the first answer, or why there is none."""
+        self._try_send()
+        try:
+            while self._live:
+                outcome = await self._advance()
+                if outcome is not None:
+                    return outcome
+        finally:
+            for attempt in self._live.values():
+                attempt.abandon()
+        return self._conclude()
+
+    async def _advance(self) -> Outcome | None:
+        """Wait for the next event and react to it."""
+        now = time.monotonic()
+        if now >= self._call.deadline:
+            return self._conclude()
+        wake_at = min(self._hedge_at, self._call.deadline)
+        done, _ = await asyncio.wait(
+            self._live,
+            timeout=max(wake_at - now, 0),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for future in done:
+            outcome = self._take(future)
+            if outcome is not None:
+                return outcome
+        if done and not self._live:
+            self._try_send()
+        elif not done and time.monotonic() >= self._hedge_at:
+            self._hedge_at = float('inf')
+            if self._call.route.is_repeatable:
+                self._try_send()
+        return None
+
+    def _try_send(self) -> bool:
+        """Start another attempt if target, budget and route allow it."""
+        route = self._call.route
+        ports = self._ports
+        limit = route.max_attempts if route.is_repeatable else 1
+        if self._runs >= limit or self._sends >= _MAX_SENDS:
+            return False
+        target = self._choose()
+        if target is None:
+            self._call.trace.add('no_target', service=self._service)
+            return False
+        if self._sends and not ports.budget.take():
+            self._call.trace.add('no_budget', service=self._service)
+            ports.on_event('extra_denied')
+            return False
+        self._send(target)
+        return True
+
+    def _choose(self) -> Target | None:
+        ports = self._ports
+        usable = [
+            target
+            for target in ports.directory.list_usable(self._service)
+            if len(target.health.in_flight) < ports.max_links
+        ]
+        return ports.chooser.choose(
+            usable,
+            self._tried,
+            ports.latency.quantile(0.5),
+            time.monotonic(),
+        )
+
+    def _send(self, target: Target) -> None:
+        ports = self._ports
+        attempt = Attempt(ports.wire, self._call, target, self._note_reply)
+        self._live[attempt.future] = attempt
+        self._tried.append(target)
+        self._sends += 1
+        self._runs += 1
+        self._call.trace.add(
+            'sent' if self._sends == 1 else 'sent_again',
+            service=self._service,
+            target=target.listed.target,
+        )
+        ports.on_event('sent' if self._sends == 1 else 'sent_again')
+        wait_ms = max(
+            ports.latency.quantile(_HEDGE_QUANTILE) * _HEDGE_FACTOR,
+            _HEDGE_MIN_MS,
+        )
+        self._hedge_at = time.monotonic() + wait_ms / _MS_PER_S
+
+    def _note_reply(self, attempt: Attempt, duration_ms: float) -> None:
+        latency = self._ports.latency
+        attempt.target.health.note_reply(duration_ms, latency.quantile(0.5))
+        latency.add(duration_ms)
+
+    def _take(self, future: 'asyncio.Future[Reply]') -> Outcome | None:
+        """Judge a settled attempt; returns the outcome if it decides."""
+        attempt = self._live.pop(future)
+        target = attempt.target.listed.target
+        error = future.exception()
+        if error is not None:
+            if isinstance(error, TargetConnectError):
+                self._runs -= 1
+            self._call.trace.add('lost', target=target, error=str(error))
+            return None
+        reply = future.result()
+        facts = self._ports.wire.read_reply(reply)
+        if facts.is_misdirected:
+            self._ports.directory.forget_misdirected(attempt.target)
+        if facts.is_not_run:
+            self._runs -= 1
+            self._call.trace.add('not_run', target=target, status=reply.status)
+            return None
+        if reply.status < 300 and facts.signature:
+            return Outcome('answered', reply, facts.signature)
+        self._call.trace.add('failed', target=target, status=reply.status)
+        if facts.signature:
+            self._failure = reply
+        return None
+
+    def _conclude(self) -> Outcome:
+        if self._live or (self._runs and self._failure is None):
+            return Outcome('unknown')
+        if self._failure is not None:
+            return Outcome('failed', self._failure)
+        return Outcome('not_run')
--- /dev/null
+++ b/shallotgate/gateway/_gateway.py
@@ -0,0 +1,231 @@
+"""Serves the requests of callers."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from shallotgate.aio import IncomingRequest, Response, ServerLimits
+from shallotgate.errors import FindingsError
+from shallotgate.gateway._budget import ExtraAllowance, ExtraBudget
+from shallotgate.gateway._calls import Call
+from shallotgate.gateway._choice import TargetChooser
+from shallotgate.gateway._directory import Directory
+from shallotgate.gateway._dispatch import Dispatch, Outcome, ServicePorts
+from shallotgate.gateway._gather import Gather, Gathered
+from shallotgate.gateway._latency import RecentLatency
+from shallotgate.gateway._report import RequestReporter
+from shallotgate.gateway._wire import CallerRequest, Wire
+from shallotgate.logs import get_logger
+from shallotgate.routes import Route, RouteIndex, RoutingTable, SplitChooser
+
+_LOGGER = get_logger('gateway')
+_MS_PER_S = 1000
+# The answer leaves this much before the caller stops to wait, in seconds.
+_ANSWER_MARGIN_S = 0.01
+# Callers come back within this span after a refusal, in seconds, spread so
+# that they do not all come at once. Backends take new work within tens of
+# milliseconds; an entry without configuration needs longer.
+_RETRY_MIN_S = 0.02
+_RETRY_MAX_S = 0.1
+_RETRY_UNREADY_S = 0.5
+# Part of the connections of a target that all entries together use.
+_LINKS_PART = 0.8
+# Assumed time of a reply before any is known, as a share of the objective.
+_INITIAL_SHARE = 0.15
+
+
+@dataclass(frozen=True)
+class _InForce:
+    """A routing table and what was made for it."""
+
+    table: RoutingTable
+    index: RouteIndex
+    max_connections: dict[str, int]
+    splits: dict[str, SplitChooser]
+
+
+class Gateway:
+    """Routes requests to targets and answers callers."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        directory: Directory,
+        domain: str,
+        allowance: ExtraAllowance,
+        generator: random.Random,
+        reporter: RequestReporter,
+    ) -> None:
+        self._wire = wire
+        self._directory = directory
+        self._allowance = allowance
+        self._generator = generator
+        self._reporter = reporter
+        self._chooser = TargetChooser(domain, generator)
+        self._in_force: _InForce | None = None
+        self._budgets: dict[str, ExtraBudget] = {}
+        self._latencies: dict[str, RecentLatency] = {}
+        # Entries that share the limits of the targets.
+        self.entries = 1
+
+    @property
+    def version(self) -> int:
+        """Version of the table in force; -1 without one."""
+        return self._in_force.table.version if self._in_force else -1
+
+    def read_limits(self) -> ServerLimits:
+        """Return the limits for callers."""
+        if self._in_force is None:
+            return ServerLimits()
+        limits = self._in_force.table.limits
+        return ServerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    def put_in_force(self, table: RoutingTable) -> None:
+        """Use a table if it is newer than the one in force."""
+        if table.version <= self.version:
+            return
+        former = self._in_force.splits if self._in_force else {}
+        splits = {}
+        for route in table.routes:
+            if len(route.choices) > 1:
+                splits[route.name] = SplitChooser(
+                    route,
+                    self._generator.random(),
+                )
+        self._in_force = _InForce(
+            table,
+            RouteIndex(table),
+            {one.name: one.max_connections for one in table.services},
+            splits,
+        )
+        _LOGGER.info(
+            'Table in force.',
+            extra={
+                'version': table.version,
+                'routes': len(table.routes),
+                'splits': len(splits),
+                'former_splits': len(former),
+            },
+        )
+
+    async def handle(self, request: IncomingRequest) -> Response:
+        """Answer a caller."""
+        try:
+            caller = self._wire.read_request(request)
+        except FindingsError as error:
+            _LOGGER.info('Request refused: %s', error)
+            return self._wire.refuse(400, None)
+        in_force = self._in_force
+        if in_force is None:
+            self._reporter.count('refused_unready')
+            return self._wire.refuse(503, _RETRY_UNREADY_S)
+        path = request.path.decode('latin-1')
+        route = in_force.index.find(caller.host, path)
+        if route is None:
+            self._reporter.count('no_route')
+            return self._wire.refuse(404, None)
+        call = self._make_call(request, caller, route)
+        with self._reporter.observe(call) as observed:
+            response = await self._serve(call, in_force)
+            observed.conclude(response.status)
+        return response
+
+    def _make_call(
+        self,
+        request: IncomingRequest,
+        caller: CallerRequest,
+        route: Route,
+    ) -> Call:
+        patience_ms: float = route.timeout_ms
+        if caller.patience_ms is not None:
+            patience_ms = min(patience_ms, caller.patience_ms)
+        return Call(
+            caller=caller,
+            body=request.body,
+            route=route,
+            received_at=request.received_at,
+            deadline=request.received_at
+            + patience_ms / _MS_PER_S
+            - _ANSWER_MARGIN_S,
+        )
+
+    async def _serve(self, call: Call, in_force: _InForce) -> Response:
+        make_dispatch = self._prepare(call, in_force)
+        if call.route.shards:
+            gathered = await Gather(call, make_dispatch).run()
+            return self._answer_gathered(call, gathered)
+        split = in_force.splits.get(call.route.name)
+        service = split.choose() if split else call.route.choices[0].service
+        outcome = await make_dispatch(service).run()
+        return self._answer_single(call, outcome)
+
+    def _prepare(
+        self,
+        call: Call,
+        in_force: _InForce,
+    ) -> Callable[[str], Dispatch]:
+        now = time.monotonic()
+
+        def make_dispatch(service: str) -> Dispatch:  # noqa: WPS430
+            budget = self._find_budget(service, now)
+            budget.earn(now, self.entries)
+            links = in_force.max_connections[service] * _LINKS_PART
+            ports = ServicePorts(
+                wire=self._wire,
+                directory=self._directory,
+                chooser=self._chooser,
+                budget=budget,
+                latency=self._find_latency(call.route),
+                max_links=max(int(links / max(self.entries, 1)), 1),
+                on_event=self._reporter.count,
+            )
+            return Dispatch(ports, call, service)
+
+        return make_dispatch
+
+    def _find_budget(self, service: str, now: float) -> ExtraBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = ExtraBudget(self._allowance, now)
+            self._budgets[service] = budget
+        return budget
+
+    def _find_latency(self, route: Route) -> RecentLatency:
+        latency = self._latencies.get(route.name)
+        if latency is None:
+            latency = RecentLatency(route.objective_ms * _INITIAL_SHARE)
+            self._latencies[route.name] = latency
+        return latency
+
+    def _answer_gathered(self, call: Call, gathered: Gathered) -> Response:
+        if gathered.status == 'answered':
+            if gathered.missing:
+                self._reporter.count('partial')
+                call.trace.add('partial', missing=gathered.missing)
+            return self._wire.make_merged(
+                gathered.signatures,
+                gathered.missing,
+                gathered.body,
+            )
+        if gathered.status == 'not_run':
+            return self._refuse_for_now()
+        return self._wire.refuse(504 if gathered.status == 'late' else 502, None)
+
+    def _answer_single(self, call: Call, outcome: Outcome) -> Response:
+        if outcome.reply is not None:
+            return self._wire.pass_on(outcome.reply)
+        if outcome.status == 'not_run':
+            return self._refuse_for_now()
+        is_late = time.monotonic() >= call.deadline
+        return self._wire.refuse(504 if is_late else 502, None)
+
+    def _refuse_for_now(self) -> Response:
+        self._reporter.count('refused')
+        retry_after_s = self._generator.uniform(_RETRY_MIN_S, _RETRY_MAX_S)
+        return self._wire.refuse(503, retry_after_s)
--- /dev/null
+++ b/shallotgate/gateway/_gather.py
@@ -0,0 +1,130 @@
+"""Fan-out of one request over all shards of its route."""
+
+import asyncio
+import heapq
+import time
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Literal
+
+from shallotgate.gateway._calls import Call
+from shallotgate.gateway._dispatch import Dispatch, Outcome
+
+_RECORD_BYTES = 16
+_MS_PER_S = 1000
+# Share of the latency objective that is left for the way to the caller.
+_OBJECTIVE_MARGIN = 0.15
+
+
+@dataclass(frozen=True)
+class Gathered:
+    """Parts of an answer, or why there is none."""
+
+    status: Literal['answered', 'not_run', 'failed', 'late']
+    signatures: Sequence[bytes] = ()
+    # Shards that are not part of the answer.
+    missing: int = 0
+    body: bytes = b''
+
+
+def merge_records(bodies: Iterable[bytes], count: int) -> bytes:
+    """Return the greatest records of all bodies, greatest first.
+
+    >>> first, second = b'a' * 16, b'b' * 16
+    >>> merge_records([first + b'rest', second], 1) == second
+    True
+    """
+    records = [
+        body[start : start + _RECORD_BYTES]
+        for body in bodies
+        for start in range(
+            0,
+            len(body) - _RECORD_BYTES + 1,
+            _RECORD_BYTES,
+        )
+    ]
+    return b''.join(heapq.nlargest(count, records))
+
+
+class Gather:
+    """Collects the parts of one request; ``run`` is called once."""
+
+    def __init__(
+        self,
+        call: Call,
+        make_dispatch: Callable[[str], Dispatch],
+    ) -> None:
+        self._call = call
+        shards = call.route.shards
+        self._dispatches = [make_dispatch(shard) for shard in shards]
+        self._parts: list[Outcome] = []
+        self._needed = call.route.min_coverage * len(shards)
+        self._open = len(shards)
+        # Set when every shard has settled, when too few can still answer, or
+        # when what is there suffices for a late answer.
+        self._settled = asyncio.Event()
+        self._is_late = False
+
+    async def run(self) -> Gathered:
+        """Return the answer by the objective if enough is in, else later."""
+        tasks = [
+            asyncio.ensure_future(self._collect(dispatch))
+            for dispatch in self._dispatches
+        ]
+        try:
+            await self._wait()
+        finally:
+            for task in tasks:
+                task.cancel()
+        return self._conclude()
+
+    async def _wait(self) -> None:
+        route = self._call.route
+        objective_s = route.objective_ms * (1 - _OBJECTIVE_MARGIN) / _MS_PER_S
+        cut_at = self._call.received_at + objective_s
+        if await self._wait_until(min(cut_at, self._call.deadline)):
+            return
+        self._is_late = True
+        if not self._suffices():
+            self._settled.clear()
+            await self._wait_until(self._call.deadline)
+
+    async def _wait_until(self, moment: float) -> bool:
+        timeout_s = max(moment - time.monotonic(), 0)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._settled.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _collect(self, dispatch: Dispatch) -> None:
+        outcome = await dispatch.run()
+        self._open -= 1
+        if outcome.status == 'answered':
+            self._parts.append(outcome)
+        is_hopeless = len(self._parts) + self._open < max(self._needed, 1)
+        if not self._open or is_hopeless:
+            self._settled.set()
+        elif self._is_late and self._suffices():
+            self._settled.set()
+
+    def _suffices(self) -> bool:
+        return len(self._parts) >= max(self._needed, 1)
+
+    def _conclude(self) -> Gathered:
+        if self._suffices():
+            return Gathered(
+                'answered',
+                [part.signature for part in self._parts],
+                len(self._dispatches) - len(self._parts),
+                merge_records(
+                    (part.reply.body for part in self._parts if part.reply),
+                    self._call.route.top_count,
+                ),
+            )
+        if not any(each.may_have_run for each in self._dispatches):
+            return Gathered('not_run')
+        if time.monotonic() >= self._call.deadline:
+            return Gathered('late')
+        return Gathered('failed')
--- /dev/null
+++ b/shallotgate/gateway/_health.py
@@ -0,0 +1,101 @@
+"""What the replies of a target tell about it."""
+
+import math
+import time
+
+from shallotgate.gateway._wire import TargetLoad
+
+_MS_PER_S = 1000
+# Weight of the newest reply in the averages: three slow replies outweigh the
+# history.
+_NEWEST_PART = 0.3
+# Seconds after which an observation counts for 1/e: a target that was slow is
+# tried again within a few seconds.
+_MEMORY_S = 3.0
+# A load report says little about a target after this many seconds.
+_LOAD_VALID_S = 0.25
+# Pause after a failed connection, doubled with each further one, in seconds.
+_DOWN_MIN_S = 0.25
+_DOWN_MAX_S = 2.0
+# Range of the speed factor that is believed.
+_MAX_FACTOR = 50.0
+
+
+class TargetHealth:
+    """Speed, failures and load of one target, as this entry sees them."""
+
+    def __init__(self) -> None:
+        # Time of its replies relative to those of its peers.
+        self._factor = 1.0
+        # Share of its replies that failed, 0 to 1.
+        self._failures = 0.0
+        self._observed_at = float('-inf')
+        self._load: TargetLoad | None = None
+        self._load_at = float('-inf')
+        self._own_at_load = 0
+        self._failed_connects = 0
+        self._down_until = float('-inf')
+        # Monotonic send times of the attempts under way, oldest first.
+        self.in_flight: dict[object, float] = {}
+
+    def read_factor(self, now: float) -> float:
+        """Return how many times as long as its peers it takes."""
+        return 1 + (self._factor - 1) * self._fade(now)
+
+    def read_failures(self, now: float) -> float:
+        """Return the share of failed replies, 0 to 1."""
+        return self._failures * self._fade(now)
+
+    def read_queue(self, now: float) -> float:
+        """Return how many requests are at the target."""
+        own = len(self.in_flight)
+        if self._load is None:
+            return own
+        age = (now - self._load_at) / _LOAD_VALID_S
+        others = self._load.running + self._load.waiting - self._own_at_load
+        return own + max(others, 0) * max(1 - age, 0)
+
+    def read_stall_ms(self, now: float) -> float:
+        """Return for how long the oldest attempt under way has waited."""
+        for sent_at in self.in_flight.values():
+            return (now - sent_at) * _MS_PER_S
+        return 0
+
+    def is_down(self, now: float) -> bool:
+        """Return whether connecting failed a short time ago."""
+        return now < self._down_until
+
+    def note_reply(self, duration_ms: float, peers_ms: float) -> None:
+        """Take up the time of a reply and that of its peers' replies."""
+        now = time.monotonic()
+        factor = min(duration_ms / max(peers_ms, 0.1), _MAX_FACTOR)
+        former = self.read_factor(now)
+        self._factor = former + (factor - former) * _NEWEST_PART
+        self._failures = self.read_failures(now) * (1 - _NEWEST_PART)
+        self._observed_at = now
+        self._failed_connects = 0
+
+    def note_failure(self) -> None:
+        """Take up that a request failed or was turned away."""
+        now = time.monotonic()
+        factor = self.read_factor(now)
+        failures = self.read_failures(now)
+        self._failures = failures + (1 - failures) * _NEWEST_PART
+        self._factor = factor
+        self._observed_at = now
+
+    def note_connect_failure(self) -> None:
+        """Take up that no connection could be opened."""
+        self.note_failure()
+        pause_s = _DOWN_MIN_S * 2**self._failed_connects
+        self._down_until = time.monotonic() + min(pause_s, _DOWN_MAX_S)
+        self._failed_connects += 1
+
+    def note_load(self, load: TargetLoad) -> None:
+        """Take up the load that a reply reports."""
+        self._load = load
+        self._load_at = time.monotonic()
+        self._own_at_load = len(self.in_flight)
+
+    def _fade(self, now: float) -> float:
+        return math.exp((self._observed_at - now) / _MEMORY_S)
--- /dev/null
+++ b/shallotgate/gateway/_report.py
@@ -0,0 +1,102 @@
+"""Log lines and metrics of requests."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from shallotgate.gateway._calls import Call
+from shallotgate.logs import get_logger
+from shallotgate.metrics import Metrics
+
+_LOGGER = get_logger('request')
+_MS_PER_S = 1000
+# One in this many requests that went well is logged.
+_SAMPLE = 200
+# Requests that are logged in a second at most; the rest is counted.
+_MAX_LOGGED_PER_S = 50
+
+
+class Observed:
+    """The status that a request ended with."""
+
+    def __init__(self) -> None:
+        # 0 if the caller left before the answer.
+        self.status = 0
+
+    def conclude(self, status: int) -> None:
+        """Note the status of the answer."""
+        self.status = status
+
+
+class RequestReporter:
+    """Logs what matters of each request and counts the rest.
+
+    All decisions of a request that failed, was late or partial are logged,
+    up to a number a second, and those of a sample of the others.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._requests = 0
+        self._second = 0
+        self._logged = 0
+        self._left_out = 0
+
+    def count(self, event: str) -> None:
+        """Count an event."""
+        self._metrics.count(f'gateway_{event}_total')
+
+    @contextmanager
+    def observe(self, call: Call) -> Iterator[Observed]:
+        """Report a request when the block ends."""
+        observed = Observed()
+        try:
+            yield observed
+        finally:
+            self._report(call, observed.status)
+
+    def _report(self, call: Call, status: int) -> None:
+        duration_ms = (time.monotonic() - call.received_at) * _MS_PER_S
+        self._metrics.record_ms(
+            'answer_ms',
+            duration_ms,
+            route=call.route.name,
+        )
+        self._metrics.count(
+            'answers_total',
+            route=call.route.name,
+            status=str(status),
+        )
+        self._requests += 1
+        is_late = duration_ms > call.route.objective_ms
+        if status < 300 and not is_late and self._requests % _SAMPLE:
+            return
+        if self._is_allowed():
+            self._log(call, status, duration_ms)
+
+    def _is_allowed(self) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._logged = 0
+        self._logged += 1
+        if self._logged > _MAX_LOGGED_PER_S:
+            self._left_out += 1
+            self.count('log_left_out')
+            return False
+        return True
+
+    def _log(self, call: Call, status: int, duration_ms: float) -> None:
+        _LOGGER.info(
+            'Answered.' if status else 'Caller left.',
+            extra={
+                'request_id': call.caller.request_id.decode('latin-1'),
+                'route': call.route.name,
+                'status': status,
+                'duration_ms': round(duration_ms, 1),
+                'objective_ms': call.route.objective_ms,
+                'steps': call.trace.list_steps(),
+                'left_out': self._left_out,
+            },
+        )
+        self._left_out = 0
--- /dev/null
+++ b/shallotgate/gateway/_trace.py
@@ -0,0 +1,40 @@
+"""Decisions on one request, kept until it is known whether to log them."""
+
+import time
+
+# Decisions kept of one request; a fan-out over many shards has a few each.
+_MAX_STEPS = 64
+_MS_PER_S = 1000
+
+
+class RequestTrace:
+    """Steps of one request with their times.
+
+    >>> trace = RequestTrace()
+    >>> trace.add('sent', target='i-1')
+    >>> [step['step'] for step in trace.list_steps()]
+    ['sent']
+    """
+
+    def __init__(self) -> None:
+        self._started_at = time.monotonic()
+        self._steps: list[tuple[float, str, dict[str, object]]] = []
+        self.left_out = 0
+
+    def add(self, step: str, **inputs: object) -> None:
+        """Note a decision and the inputs that decided it."""
+        if len(self._steps) < _MAX_STEPS:
+            self._steps.append((time.monotonic(), step, inputs))
+        else:
+            self.left_out += 1
+
+    def list_steps(self) -> list[dict[str, object]]:
+        """Return the steps with their times in milliseconds."""
+        return [
+            {
+                'step': step,
+                'at_ms': round((at - self._started_at) * _MS_PER_S, 1),
+                **inputs,
+            }
+            for at, step, inputs in self._steps
+        ]
--- /dev/null
+++ b/shallotgate/node/_control.py
@@ -0,0 +1,125 @@
+"""Composition root of a control member."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+
+from shallotgate.aio import AsyncHttpServer, Handler, ServerLimits
+from shallotgate.consensus import ReplicatedLog
+from shallotgate.generated.node import NodeSettings
+from shallotgate.generated.settings import Member
+from shallotgate.logs import get_logger
+from shallotgate.metrics import Metrics
+from shallotgate.node._metrics import make_metrics_server
+from shallotgate.node._settings import list_seeds
+from shallotgate.registry import (
+    FollowerDesk,
+    ListingReader,
+    OperatorDesk,
+    RegistryClient,
+    RegistryState,
+    TargetListing,
+)
+from shallotgate.routes import TableCodec
+from shallotgate.timers import TimerService
+from shallotgate.transport import Mailbox
+
+_LOGGER = get_logger('node')
+_START_ID_BYTES = 8
+_MS_PER_S = 1000
+# The list is read this many times in the span within which a leaving target
+# must get no more work: one read and the way to the entries may fail.
+_READS_IN_DRAIN = 3
+# Share of the calls that the platform bears.
+_CALLS_PART = 0.5
+# Largest order of an operator, in bytes: some thousands of routes.
+_MAX_ORDER_BYTES = 8 * 1024 * 1024
+
+
+class ControlNode:
+    """Member of the control group; the leader also tells the entries."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        codec: TableCodec,
+        listing: TargetListing,
+        make_handler: Callable[[OperatorDesk], Handler],
+    ) -> None:
+        self._metrics = Metrics()
+        self._timers = TimerService()
+        start_id = secrets.token_hex(_START_ID_BYTES)
+        self._mailbox = Mailbox(
+            instance=settings.peer_address,
+            start_id=start_id,
+            listen_address=settings.peer_address,
+        )
+        state = RegistryState()
+        self._log = ReplicatedLog(
+            mailbox=self._mailbox,
+            timers=self._timers,
+            machine=state,
+            folder=Path(settings.data_folder),
+            instance=settings.peer_address,
+            members=[
+                Member(instance=seed, address=seed)
+                for seed in list_seeds(settings)
+            ],
+            bootstrap=settings.bootstrap,
+            steward=True,
+        )
+        self._listing = ListingReader(
+            listing,
+            source=start_id,
+            period_s=max(
+                settings.drain_ms / _MS_PER_S / _READS_IN_DRAIN,
+                1 / (settings.listing_calls_per_s * _CALLS_PART),
+            ),
+            is_leading=self._log.is_leading,
+        )
+        self._client = RegistryClient(self._mailbox, self._log, state)
+        self._followers = FollowerDesk(
+            mailbox=self._mailbox,
+            log=self._log,
+            state=state,
+            listing=self._listing,
+            list_members=self._list_members,
+        )
+        self._server = AsyncHttpServer(
+            settings.operator_address,
+            make_handler(OperatorDesk(self._client, codec)),
+            _make_order_limits,
+        )
+        self._metrics_server = make_metrics_server(
+            settings.metrics_address,
+            self._metrics,
+        )
+        self._metrics.gauge('entries', self._followers.count_entries)
+
+    async def start(self) -> None:
+        """Load the durable state and take part in the group."""
+        self._timers.start()
+        self._mailbox.start()
+        await asyncio.to_thread(self._log.start)
+        self._listing.start()
+        self._followers.start()
+        await self._server.start()
+        if self._metrics_server is not None:
+            await self._metrics_server.start()
+
+    async def stop(self) -> None:
+        """Hand over leadership and leave the files closed."""
+        if self._log.is_leading():
+            await asyncio.to_thread(self._log.transfer_leadership)
+        self._listing.stop()
+        self._client.stop()
+        await self._server.stop()
+        await asyncio.to_thread(self._log.stop)
+
+    def _list_members(self) -> list[str]:
+        return [member.instance for member in self._log.status().members]
+
+
+def _make_order_limits() -> ServerLimits:
+    return ServerLimits(max_body_bytes=_MAX_ORDER_BYTES)
--- /dev/null
+++ b/shallotgate/node/_entry.py
@@ -0,0 +1,172 @@
+"""Composition root of an entry."""
+
+import asyncio
+import random
+import secrets
+import time
+
+from shallotgate.aio import (
+    AsyncHttpServer,
+    IncomingRequest,
+    Response,
+)
+from shallotgate.errors import ShallotgateError
+from shallotgate.gateway import (
+    Directory,
+    ExtraAllowance,
+    Gateway,
+    RequestReporter,
+    TierFollower,
+    Wire,
+)
+from shallotgate.generated.messages import FollowTier, TierUpdate
+from shallotgate.generated.node import NodeSettings
+from shallotgate.logs import get_logger
+from shallotgate.metrics import Metrics
+from shallotgate.node._metrics import make_metrics_server
+from shallotgate.node._settings import list_seeds
+from shallotgate.routes import RoutingTable, TableCodec
+from shallotgate.transport import Mailbox
+
+_LOGGER = get_logger('node')
+_START_ID_BYTES = 8
+# Share of the time to stop during which callers are still taken: the balancer
+# needs some of it to notice that the entry is leaving.
+_LINGER_SHARE = 0.55
+# Share of the time to stop after which open requests are given up, so that
+# the process ends by itself.
+_GIVE_UP_SHARE = 0.92
+_POLL_S = 0.02
+# Longest wait for the event loop to put an update in force, in seconds.
+_APPLY_S = 5.0
+
+
+class EntryNode:
+    """Serves callers and follows the control leader."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        wire: Wire,
+        codec: TableCodec,
+    ) -> None:
+        self._settings = settings
+        self._is_leaving = False
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._metrics = Metrics()
+        self._directory = Directory()
+        self._gateway = Gateway(
+            wire=wire,
+            directory=self._directory,
+            domain=settings.domain,
+            allowance=ExtraAllowance(
+                settings.extra_ratio,
+                settings.extra_slack,
+                settings.extra_window_s,
+            ),
+            generator=random.Random(),  # noqa: S311 - no secret
+            reporter=RequestReporter(self._metrics),
+        )
+        self._mailbox = Mailbox(
+            instance=settings.peer_address,
+            start_id=secrets.token_hex(_START_ID_BYTES),
+            listen_address=settings.peer_address,
+        )
+        self._follower = TierFollower(
+            mailbox=self._mailbox,
+            codec=codec,
+            seeds=list_seeds(settings),
+            read_position=self._read_position,
+            apply=self._apply_in_loop,
+        )
+        self._server = AsyncHttpServer(
+            settings.caller_address,
+            self._gateway.handle,
+            self._gateway.read_limits,
+        )
+        self._ready_server = AsyncHttpServer(
+            settings.ready_address,
+            self._tell_readiness,
+        )
+        self._metrics_server = make_metrics_server(
+            settings.metrics_address,
+            self._metrics,
+        )
+
+    async def start(self) -> None:
+        """Start all parts; the entry is ready once it knows its routes."""
+        self._loop = asyncio.get_running_loop()
+        self._mailbox.start()
+        self._follower.start()
+        await self._server.start()
+        await self._ready_server.start()
+        if self._metrics_server is not None:
+            await self._metrics_server.start()
+
+    async def stop(self) -> None:
+        """Turn callers away, finish their requests, then stop."""
+        begun_at = time.monotonic()
+        stop_s = self._settings.stop_s
+        self._is_leaving = True
+        self._server.announce_close()
+        await asyncio.sleep(stop_s * _LINGER_SHARE)
+        self._server.close_idle()
+        give_up_at = begun_at + stop_s * _GIVE_UP_SHARE
+        while self._server.connections and time.monotonic() < give_up_at:
+            await asyncio.sleep(_POLL_S)
+            self._server.close_idle()
+        self._follower.stop()
+
+    def find_unready(self) -> str:
+        """Return why the entry takes no callers; empty if it does."""
+        if self._is_leaving:
+            return 'leaving'
+        if self._gateway.version < 0:
+            return 'no table'
+        if self._directory.revision < 0:
+            return 'no targets'
+        return ''
+
+    async def _tell_readiness(self, request: IncomingRequest) -> Response:
+        reason = self.find_unready()
+        return Response(503 if reason else 200, reason.encode())
+
+    def _read_position(self) -> FollowTier:
+        return FollowTier(
+            domain=self._settings.domain,
+            table_version=self._gateway.version,
+            domains_revision=self._directory.domains_revision,
+            listing_source=self._directory.source,
+            listing_revision=self._directory.revision,
+            leaving=self._is_leaving,
+        )
+
+    def _apply_in_loop(
+        self,
+        update: TierUpdate,
+        table: RoutingTable | None,
+    ) -> None:
+        """Put an update in force on the event loop and wait for it."""
+        if self._loop is None:
+            raise ShallotgateError('the entry has not started')
+        applied = asyncio.run_coroutine_threadsafe(
+            self._apply(update, table),
+            self._loop,
+        )
+        applied.result(_APPLY_S)
+
+    async def _apply(
+        self,
+        update: TierUpdate,
+        table: RoutingTable | None,
+    ) -> None:
+        self._gateway.entries = update.entries
+        if update.domains is not None:
+            self._directory.set_domains_out(
+                update.domains.revision,
+                update.domains.out,
+            )
+        if update.listing is not None:
+            self._directory.update(update.listing)
+        if table is not None:
+            self._gateway.put_in_force(table)
--- /dev/null
+++ b/shallotgate/node/_settings.py
@@ -0,0 +1,43 @@
+"""Settings of a process, read from YAML."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from shallotgate.errors import Finding, SettingsError
+from shallotgate.generated.node import NodeSettings
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read and check settings; raises ``SettingsError``."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise SettingsError([Finding(str(path), '', str(error))]) from error
+    try:
+        return msgspec.convert(_parse(text), type=NodeSettings)
+    except msgspec.MsgspecError as error:
+        raise SettingsError([Finding(str(path), '', str(error))]) from error
+
+
+def list_seeds(settings: NodeSettings) -> Sequence[str]:
+    """Return the peer addresses of the seeds.
+
+    >>> settings = NodeSettings(name='a', domain='d', region='r',
+    ...     peer_address='10.0.0.1:7740', seeds=['10.0.0.2:8224'])
+    >>> list_seeds(settings)
+    ['10.0.0.2:7740']
+    """
+    port = settings.peer_address.rpartition(':')[2]
+    return [f'{seed.partition(":")[0]}:{port}' for seed in settings.seeds]
+
+
+def _parse(text: str) -> Any:
+    if text.lstrip().startswith('{'):
+        # JSON is YAML too, and needs no YAML parser in memory.
+        return msgspec.json.decode(text)
+    from ruamel.yaml import YAML  # noqa: PLC0415, WPS433
+
+    return YAML(typ='safe').load(text)
--- /dev/null
+++ b/shallotgate/registry/_followers.py
@@ -0,0 +1,184 @@
+"""Tells entries what changed, as the leader."""
+
+import threading
+import time
+import zlib
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from shallotgate.consensus import ReplicatedLog
+from shallotgate.generated.messages import (
+    DomainsUpdate,
+    FollowTier,
+    TableUpdate,
+    TierUpdate,
+)
+from shallotgate.logs import get_logger
+from shallotgate.registry._listing import ListingReader
+from shallotgate.registry._state import Registry, RegistryState
+from shallotgate.transport import Delivery, Mailbox
+
+_LOGGER = get_logger('followers')
+# A request without news is answered after this time, in seconds. It shows the
+# entry that the leader is there.
+_HOLD_S = 0.8
+# Seconds between two looks for requests that were held long enough.
+_LOOK_S = 0.1
+# An entry counts for this many seconds after its last request.
+_ENTRY_VALID_S = 6.0
+# Documents kept as dictionaries for those who hold them.
+_MAX_DOCUMENTS = 8
+
+
+@dataclass(frozen=True)
+class _Held:
+    delivery: Delivery
+    # Monotonic time of arrival.
+    since: float
+
+
+class FollowerDesk:
+    """Answers the entries that follow this member."""
+
+    def __init__(
+        self,
+        mailbox: Mailbox,
+        log: ReplicatedLog,
+        state: RegistryState,
+        listing: ListingReader,
+        list_members: Callable[[], list[str]],
+    ) -> None:
+        """Construct it before the mailbox starts."""
+        self._mailbox = mailbox
+        self._log = log
+        self._state = state
+        self._listing = listing
+        self._list_members = list_members
+        self._held: dict[str, _Held] = {}
+        self._heard: dict[str, float] = {}
+        self._documents: OrderedDict[int, bytes] = OrderedDict()
+        self._changed = threading.Condition()
+        self._is_stopped = False
+        self._thread = threading.Thread(
+            target=self._run,
+            name='followers',
+            daemon=True,
+        )
+        mailbox.subscribe(FollowTier, self._on_follow)
+        state.subscribe(self._wake)
+        listing.subscribe(self._wake)
+
+    def start(self) -> None:
+        """Start to answer."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop to answer."""
+        self._is_stopped = True
+        self._wake()
+
+    def count_entries(self) -> int:
+        """Return how many entries share the limits of the targets."""
+        oldest = time.monotonic() - _ENTRY_VALID_S
+        return sum(heard_at > oldest for heard_at in self._heard.values())
+
+    def _on_follow(self, delivery: Delivery) -> None:
+        now = time.monotonic()
+        with self._changed:
+            if delivery.message.leaving:
+                self._heard.pop(delivery.sender, None)
+            else:
+                self._heard[delivery.sender] = now
+            self._held[delivery.sender] = _Held(delivery, now)
+            self._changed.notify_all()
+
+    def _wake(self) -> None:
+        with self._changed:
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        while not self._is_stopped:
+            with self._changed:
+                held = list(self._held.values())
+                self._changed.wait(_LOOK_S if held else None)
+                held = list(self._held.values())
+            for one in held:
+                try:
+                    self._try_answer(one)
+                except Exception:
+                    _LOGGER.exception('A follower was not answered.')
+                    self._drop(one)
+
+    def _try_answer(self, held: _Held) -> None:
+        if not self._log.is_leading():
+            self._drop(held)
+            leader = self._log.leader or ''
+            if leader == self._mailbox.instance:
+                leader = ''
+            self._mailbox.reply(
+                held.delivery,
+                TierUpdate(status='not_leader', leader=leader),
+            )
+            return
+        update = self._make_update(held.delivery.message)
+        has_news = update.table or update.domains or update.listing
+        if has_news or time.monotonic() - held.since > _HOLD_S:
+            self._drop(held)
+            self._mailbox.reply(held.delivery, update)
+
+    def _drop(self, held: _Held) -> None:
+        with self._changed:
+            sender = held.delivery.sender
+            if self._held.get(sender) is held:
+                self._held.pop(sender)
+
+    def _make_update(self, message: FollowTier) -> TierUpdate:
+        registry = self._state.read()
+        domains = None
+        if registry.domains_revision > message.domains_revision:
+            domains = DomainsUpdate(
+                revision=registry.domains_revision,
+                out=list(registry.domains_out),
+            )
+        return TierUpdate(
+            status='current',
+            members=self._list_members(),
+            entries=max(self.count_entries(), 1),
+            table=self._make_table(registry, message.table_version),
+            domains=domains,
+            listing=self._listing.make_update(
+                message.listing_source,
+                message.listing_revision,
+            ),
+        )
+
+    def _make_table(
+        self,
+        registry: Registry,
+        known_version: int,
+    ) -> TableUpdate | None:
+        if registry.version <= known_version:
+            return None
+        document = self._unpack(registry)
+        base = self._documents.get(known_version)
+        if base is None:
+            return TableUpdate(
+                version=registry.version,
+                document=registry.document,
+            )
+        packer = zlib.compressobj(zdict=base)
+        return TableUpdate(
+            version=registry.version,
+            base_version=known_version,
+            document=packer.compress(document) + packer.flush(),
+        )
+
+    def _unpack(self, registry: Registry) -> bytes:
+        document = self._documents.get(registry.version)
+        if document is None:
+            document = zlib.decompress(registry.document)
+            self._documents[registry.version] = document
+            while len(self._documents) > _MAX_DOCUMENTS:
+                self._documents.popitem(last=False)
+        return document
--- /dev/null
+++ b/shallotgate/registry/_state.py
@@ -0,0 +1,108 @@
+"""Replicated state: routing table and failure domains out of service."""
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from shallotgate.codec import decode_tagged
+from shallotgate.generated.messages import (
+    PublishOutcome,
+    PublishTable,
+    SetDomainOut,
+)
+from shallotgate.logs import get_logger
+
+_LOGGER = get_logger('registry')
+
+
+class Registry(msgspec.Struct, frozen=True):
+    """What is in force."""
+
+    # Version of the table; -1 without one.
+    version: int = -1
+    # The table as the operator sent it, compressed with zlib.
+    document: bytes = b''
+    # Index of the record that last changed the domains.
+    domains_revision: int = 0
+    # Failure domains whose targets get no new work, sorted.
+    domains_out: tuple[str, ...] = ()
+
+
+class RegistryState:
+    """State machine whose highest version wins."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._registry = Registry()
+        self._callbacks: list[Callable[[], None]] = []
+
+    def read(self) -> Registry:
+        """Return what is in force as of the applied records."""
+        with self._lock:
+            return self._registry
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change; callbacks must be short."""
+        self._callbacks.append(callback)
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Apply a committed command."""
+        decoded = decode_tagged(command)
+        if isinstance(decoded, PublishTable):
+            return self._publish(decoded)
+        if isinstance(decoded, SetDomainOut):
+            self._set_domain(index, decoded)
+        return None
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(self.read())
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state."""
+        self._replace(msgspec.msgpack.decode(snapshot, type=Registry))
+
+    def _publish(self, command: PublishTable) -> PublishOutcome:
+        registry = self.read()
+        if command.version <= registry.version:
+            return PublishOutcome(version=registry.version, changed=False)
+        self._replace(
+            msgspec.structs.replace(
+                registry,
+                version=command.version,
+                document=command.document,
+            ),
+        )
+        _LOGGER.info(
+            'Table accepted.',
+            extra={'version': command.version, 'former': registry.version},
+        )
+        return PublishOutcome(version=command.version, changed=True)
+
+    def _set_domain(self, index: int, command: SetDomainOut) -> None:
+        registry = self.read()
+        out = set(registry.domains_out)
+        if command.out:
+            out.add(command.domain)
+        else:
+            out.discard(command.domain)
+        if out == set(registry.domains_out):
+            return
+        self._replace(
+            msgspec.structs.replace(
+                registry,
+                domains_revision=index,
+                domains_out=tuple(sorted(out)),
+            ),
+        )
+        _LOGGER.info(
+            'Domains out of service changed.',
+            extra={'revision': index, 'out': sorted(out)},
+        )
+
+    def _replace(self, registry: Registry) -> None:
+        with self._lock:
+            self._registry = registry
+        for callback in self._callbacks:
+            callback()
--- /dev/null
+++ b/shallotgate/routes/__init__.py
@@ -0,0 +1,25 @@
+"""Routing tables: which request goes to which services."""
+
+from shallotgate.routes._check import check_table
+from shallotgate.routes._index import RouteIndex
+from shallotgate.routes._split import SplitChooser
+from shallotgate.routes._table import (
+    CallerLimits,
+    Route,
+    RoutingTable,
+    Service,
+    TableCodec,
+    WeightedService,
+)
+
+__all__ = (
+    'CallerLimits',
+    'Route',
+    'RouteIndex',
+    'RoutingTable',
+    'Service',
+    'SplitChooser',
+    'TableCodec',
+    'WeightedService',
+    'check_table',
+)
--- /dev/null
+++ b/shallotgate/routes/_check.py
@@ -0,0 +1,64 @@
+"""Faults of routing tables."""
+
+from collections.abc import Iterator
+
+from shallotgate.errors import Finding, FindingsError
+from shallotgate.routes._table import Route, RoutingTable
+
+
+def check_table(table: RoutingTable) -> None:
+    """Raise ``FindingsError`` with all faults of a table.
+
+    >>> route = Route('r', 'a.example', '/x/', True, timeout_ms=0,
+    ...               objective_ms=10)
+    >>> check_table(RoutingTable(1, (route,)))
+    Traceback (most recent call last):
+    shallotgate.errors._tree.FindingsError: table: r: the timeout must be \
+positive
+    table: r: names no service
+    """
+    findings = [
+        Finding('table', path, reason) for path, reason in _find_faults(table)
+    ]
+    if findings:
+        raise FindingsError(findings)
+
+
+def _find_faults(table: RoutingTable) -> Iterator[tuple[str, str]]:
+    if table.version < 0:
+        yield 'version', 'must not be negative'
+    known = {service.name for service in table.services}
+    if len(known) < len(table.services):
+        yield 'services', 'two services have the same name'
+    places: dict[tuple[str, str], str] = {}
+    for route in table.routes:
+        former = places.setdefault((route.host, route.prefix), route.name)
+        if former is not route.name:
+            yield route.name, f'has the same host and prefix as {former}'
+        yield from _find_route_faults(route, known)
+
+
+def _find_route_faults(
+    route: Route,
+    known: set[str],
+) -> Iterator[tuple[str, str]]:
+    if route.timeout_ms <= 0:
+        yield route.name, 'the timeout must be positive'
+    if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
+        yield route.name, 'the prefix must begin and end with a slash'
+    for service in route.services:
+        if service not in known:
+            yield route.name, f'names the unknown service {service}'
+    if not route.services:
+        yield route.name, 'names no service'
+    if len(set(route.shards)) < len(route.shards):
+        yield route.name, 'names a shard twice'
+    yield from _find_weight_faults(route)
+
+
+def _find_weight_faults(route: Route) -> Iterator[tuple[str, str]]:
+    weights = [choice.weight for choice in route.choices]
+    if any(weight < 0 for weight in weights):
+        yield route.name, 'a weight is negative'
+    elif weights and not sum(weights):
+        yield route.name, 'the weights add up to 0'
--- /dev/null
+++ b/shallotgate/routes/_index.py
@@ -0,0 +1,36 @@
+"""Lookup of routes."""
+
+from shallotgate.routes._table import Route, RoutingTable
+
+
+class RouteIndex:
+    """Finds the route of a request.
+
+    >>> short = Route('short', 'a.example', '/x/', True, 100, 10)
+    >>> long = Route('long', 'a.example', '/x/y/', True, 100, 10)
+    >>> index = RouteIndex(RoutingTable(1, (short, long)))
+    >>> index.find('A.example:80', '/x/y/2f?q=1').name
+    'long'
+    >>> index.find('a.example', '/z/') is None
+    True
+    """
+
+    def __init__(self, table: RoutingTable) -> None:
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in table.routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of the host with the longest prefix of the path."""
+        prefixes = self._by_host.get(host.partition(':')[0].lower())
+        if prefixes is None:
+            return None
+        place = path.partition('?')[0]
+        end = place.rfind('/')
+        while end >= 0:
+            route = prefixes.get(place[: end + 1])
+            if route is not None:
+                return route
+            end = place.rfind('/', 0, end)
+        return None
--- a/shallotgate/transport/_mailbox.py
+++ b/shallotgate/transport/_mailbox.py
@@ -158,13 +158,20 @@
             sender = self._senders.get(peer)
             if sender is not None:
                 return sender
-            address = self._routes.get(peer) or self._addresses.get(peer)
+            address = self._find_address(peer)
             if address is None:
                 raise PeerUnreachableError(f'no address of peer {peer}')
             sender = PeerSender(peer, address, self.last_heard)
             self._senders[peer] = sender
             return sender
 
+    def _find_address(self, peer: str) -> str | None:
+        address = self._routes.get(peer) or self._addresses.get(peer)
+        if address is None and ':' in peer:
+            # The id of the peer is its address.
+            return peer
+        return address
+
     def _receive(self) -> None:
         while True:
             try:
