--- a/Makefile
+++ b/Makefile
@@ -14,16 +14,16 @@
 	touch $(STAMP)
 
 format: setup
-	$(BIN)/ruff format shallotgate testkit tools tests
-	$(BIN)/ruff check --fix -q shallotgate testkit tools tests
+	$(BIN)/ruff format shallotgate testkit tools tests platform
+	$(BIN)/ruff check --fix -q shallotgate testkit tools tests platform
 
 generate: setup
 	$(BIN)/python tools/generate.py
 
 lint: setup
-	$(BIN)/ruff format --check shallotgate testkit tools tests
-	$(BIN)/ruff check -q shallotgate testkit tools tests
-	$(BIN)/flake8 shallotgate testkit tools
+	$(BIN)/ruff format --check shallotgate testkit tools tests platform
+	$(BIN)/ruff check -q shallotgate testkit tools tests platform
+	$(BIN)/flake8 shallotgate testkit tools platform
 	$(BIN)/python tools/generate.py --check
 
 types: setup
--- a/shallotgate/aio/_link.py
+++ b/shallotgate/aio/_link.py
@@ -111,7 +111,10 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._fail(TargetProtocolError(f'not a reply: {error!r}'))
 
     def eof_received(self) -> bool:
--- a/shallotgate/aio/_server.py
+++ b/shallotgate/aio/_server.py
@@ -9,9 +9,8 @@
 from dataclasses import dataclass
 from typing import cast
 
-import httptools
-
-from shallotgate.aio._message import Headers, IncomingRequest, Response
+from shallotgate.aio._message import IncomingRequest, Response
+from shallotgate.aio._reader import RejectedError, RequestReader
 from shallotgate.logs import get_logger
 
 _LOGGER = get_logger('http')
@@ -37,30 +36,28 @@
     idle_timeout_ms: int = 15000
 
 
-class _Rejected(Exception):
-    """A request that is answered without being handled."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
 class _Connection(asyncio.Protocol):
     """One connection of a caller; its task handles one request at a time."""
 
     def __init__(self, server: 'AsyncHttpServer') -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(
+            on_request=self._enqueue,
+            on_expect=self._write_continue,
+            read_max_bytes=server.read_max_bytes,
+        )
         self._requests: deque[IncomingRequest] = deque()
         self._arrived = asyncio.Event()
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._begin()
         self.is_busy = False
         # Monotonic time since which the connection has been without request.
-        self.idle_since = time.monotonic()
-        # Monotonic time of the first byte of an incomplete request.
-        self.begun_at = float('inf')
+        self._idle_since = time.monotonic()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way, not even a part of one."""
+        return not self.is_busy and self._reader.begun_at == float('inf')
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task of the connection."""
@@ -72,18 +69,10 @@
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
         try:
-            self._parser.feed_data(data)
-        except _Rejected as error:
+            self._reader.feed(data)
+        except RejectedError as error:
+            _LOGGER.info('Request rejected.', extra={'status': error.status})
             self._reject(error.status)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            is_known = isinstance(cause, _Rejected)
-            self._reject(cause.status if is_known else 400)  # type: ignore
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError as error:
-            _LOGGER.info('Request can not be parsed: %s.', error)
-            self._reject(400)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
@@ -95,74 +84,28 @@
         if self._task is not None:
             self._task.cancel()
 
-    def on_message_begin(self) -> None:
-        """Begin another request."""
-        self._begin()
-        self.begun_at = time.monotonic()
-
-    def on_url(self, url: bytes) -> None:
-        """Take up a part of the path."""
-        self._url += url
-        self._count_header(len(url))
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Take up a header."""
-        self._headers.append((name, text))
-        self._count_header(len(name) + len(text))
-
-    def on_headers_complete(self) -> None:
-        """Let a caller go on that waits for a word before its body."""
-        for name, text in self._headers:
-            if name.lower() == b'expect' and self._transport is not None:
-                self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def on_body(self, body: bytes) -> None:
-        """Take up a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits().max_body_bytes:
-            raise _Rejected(413)
-
-    def on_message_complete(self) -> None:
-        """Hand the request to the task."""
-        now = time.monotonic()
-        self.begun_at = float('inf')
-        request = IncomingRequest(
-            method=self._parser.get_method(),
-            path=bytes(self._url),
-            headers=self._headers,
-            body=b''.join(self._body),
-            received_at=now,
-        )
-        self._requests.append(request)
-        self._arrived.set()
-        if len(self._requests) >= _MAX_PIPELINED and self._transport:
-            self._transport.pause_reading()
-
     def is_overdue(self, now: float, limits: ServerLimits) -> bool:
         """Return whether the caller idles or takes too long."""
-        if now - self.begun_at > limits.header_timeout_ms / _MS_PER_S:
+        slow_s = now - self._reader.begun_at
+        if slow_s > limits.header_timeout_ms / _MS_PER_S:
             return True
-        if self.is_busy or self.begun_at <= now:
-            return False
-        return now - self.idle_since > limits.idle_timeout_ms / _MS_PER_S
+        idle_s = now - self._idle_since
+        return self.is_idle and idle_s > limits.idle_timeout_ms / _MS_PER_S
 
     def close(self) -> None:
         """Close a connection that has no request."""
         if self._transport is not None:
             self._transport.close()
 
-    def _begin(self) -> None:
-        self._url = bytearray()
-        self._headers: Headers = []
-        self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+    def _enqueue(self, request: IncomingRequest) -> None:
+        self._requests.append(request)
+        self._arrived.set()
+        if len(self._requests) >= _MAX_PIPELINED and self._transport:
+            self._transport.pause_reading()
 
-    def _count_header(self, amount: int) -> None:
-        self._header_bytes += amount
-        if self._header_bytes > self._server.limits().max_header_bytes:
-            raise _Rejected(431)
+    def _write_continue(self) -> None:
+        if self._transport is not None:
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _reject(self, status: int) -> None:
         """Answer and close; the rest of the input can't be trusted."""
@@ -182,7 +125,7 @@
                 self._write(request, await self._answer(request))
                 self.is_busy = False
             self._arrived.clear()
-            self.idle_since = time.monotonic()
+            self._idle_since = time.monotonic()
             if self._transport is not None:
                 self._transport.resume_reading()
 
@@ -199,10 +142,9 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        connection = request.read_header(b'connection')
-        keep_open = not self._server.is_closing and (
-            connection is None or connection.lower() != b'close'
-        )
+        connection = request.read_header(b'connection') or b''
+        wants_close = connection.lower() == b'close'
+        keep_open = not (self._server.is_closing or wants_close)
         has_body = request.method != b'HEAD'
         transport.write(response.encode(keep_open=keep_open, has_body=has_body))
         if not keep_open:
@@ -227,6 +169,11 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
+    def read_max_bytes(self) -> tuple[int, int]:
+        """Return the most bytes of headers and of a body."""
+        limits = self.limits()
+        return limits.max_header_bytes, limits.max_body_bytes
+
     async def start(self) -> None:
         """Listen; raises ``OSError`` if the address is taken."""
         host, _, port = self._address.rpartition(':')
@@ -250,7 +197,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
-            if not connection.is_busy and connection.begun_at == float('inf'):
+            if connection.is_idle:
                 connection.close()
 
     @property
--- a/shallotgate/consensus/_changes.py
+++ b/shallotgate/consensus/_changes.py
@@ -109,10 +109,10 @@
                 return False
             leadership.is_transferring = True
         core.wait_until(
-            lambda: leadership.is_closed or self._holds_all(best),
+            lambda: leadership.is_closed or _holds_all(core, best),
             deadline,
         )
-        if leadership.is_closed or not self._holds_all(best):
+        if leadership.is_closed or not _holds_all(core, best):
             leadership.is_transferring = False
             return False
         # From here on the lease must not be used again in this term: the
@@ -122,7 +122,7 @@
             best.instance,
             TimeoutNow(term=leadership.term),
         )
-        core.worker.post(lambda: self._end(leadership))
+        core.worker.post(partial(_end, core, leadership))
         return core.wait_until(
             lambda: leadership.is_closed and core.leader is not None,
             deadline,
@@ -178,10 +178,6 @@
                 extra={'member': instance, 'identity': identity},
             )
 
-    def _end(self, leadership: Leadership) -> None:
-        if self._core.leadership is leadership:
-            self._core.step_down()
-
     def _replace(self, instance: str, deadline: float) -> None:
         core = self._core
         with core.changed:
@@ -237,13 +233,6 @@
         is_live = progress.acked_at >= called_at
         return is_live and progress.match >= self._core.commit
 
-    def _holds_all(self, progress: Progress) -> bool:
-        return (
-            progress.match
-            == self._core.journal.last_index
-            == (self._core.commit)
-        )
-
     def _require_live_majority(
         self,
         leadership: Leadership,
@@ -285,3 +274,13 @@
             deadline - time.monotonic(),
             expected=leadership,
         )
+
+
+def _end(core: Core, leadership: Leadership) -> None:
+    if core.leadership is leadership:
+        core.step_down()
+
+
+def _holds_all(core: Core, progress: Progress) -> bool:
+    last_index = core.journal.last_index
+    return progress.match == last_index == core.commit
--- a/shallotgate/consensus/_group.py
+++ b/shallotgate/consensus/_group.py
@@ -84,9 +84,7 @@
         """Return the group without the member of one instance."""
         return Group(
             tuple(
-                member
-                for member in self.members
-                if member.instance != instance
+                member for member in self.members if member.instance != instance
             ),
         )
 
--- a/shallotgate/consensus/_replicated_log.py
+++ b/shallotgate/consensus/_replicated_log.py
@@ -4,7 +4,6 @@
 from pathlib import Path
 
 from shallotgate.consensus._applier import Applier
-from shallotgate.consensus._changes import Changes
 from shallotgate.consensus._core import Core
 from shallotgate.consensus._elector import Elector
 from shallotgate.consensus._follower import Follower
@@ -15,7 +14,7 @@
 from shallotgate.consensus._notifier import LeadershipCallback
 from shallotgate.consensus._reports import StatusReader
 from shallotgate.consensus._status import DamageReport, GroupStatus
-from shallotgate.consensus._steward import Steward
+from shallotgate.consensus._steward import make_changes
 from shallotgate.consensus._times import ConsensusTimes
 from shallotgate.consensus._worker import exit_on_failed_sync
 from shallotgate.errors import DamagedFileError
@@ -36,9 +35,7 @@
     """Commits commands on a majority and applies them in order.
 
     A member takes part once it is started. Construct it before the mailbox
-    is started, because it subscribes to messages. With ``steward`` the group
-    admits instances that ask to join and drops silent ones by itself;
-    otherwise an operator replaces members.
+    is started, because it subscribes to messages.
     """
 
     def __init__(
@@ -51,17 +48,12 @@
         members: Sequence[Member],
         bootstrap: bool,
         times: ConsensusTimes = _DEFAULT_TIMES,
-        steward: bool = False,
     ) -> None:
         self._timers = timers
         self._folder = DataFolder(folder)
         self._core = Core(instance, mailbox, self._folder, times)
         self._leader = Leader(self._core)
-        self._changes = Changes(self._core, self._leader)
-        self._core.notifier.subscribe(self._changes.follow_leadership)
-        if steward:
-            keeper = Steward(self._core, self._changes)
-            self._core.notifier.subscribe(keeper.follow_leadership)
+        self._changes = make_changes(self._core, self._leader)
         self._elector = Elector(self._core, self._leader.begin)
         self._follower = Follower(self._core)
         self._founding = Founding(self._core, members, bootstrap=bootstrap)
--- a/shallotgate/consensus/_steward.py
+++ b/shallotgate/consensus/_steward.py
@@ -7,6 +7,7 @@
 from shallotgate.consensus._changes import Changes
 from shallotgate.consensus._core import Core
 from shallotgate.consensus._group import Group
+from shallotgate.consensus._leader import Leader
 from shallotgate.consensus._leadership import Leadership
 from shallotgate.errors import ConsensusError
 from shallotgate.generated.messages import MemberIdentity
@@ -22,6 +23,15 @@
 _SMALLEST = 3
 
 
+def make_changes(core: Core, leader: Leader) -> Changes:
+    """Return what changes the group, on request and by itself."""
+    changes = Changes(core, leader)
+    core.notifier.subscribe(changes.follow_leadership)
+    if core.times.self_governed:
+        core.notifier.subscribe(Steward(core, changes).follow_leadership)
+    return changes
+
+
 class Steward:
     """Keeps the group made of instances that run, while this member leads.
 
--- a/shallotgate/consensus/_times.py
+++ b/shallotgate/consensus/_times.py
@@ -1,4 +1,4 @@
-"""Times and limits of the replicated log."""
+"""Times, limits and policy of the replicated log."""
 
 from dataclasses import dataclass
 
@@ -11,6 +11,9 @@
     that heard from a leader grants no vote for ``election_min_s``.
     """
 
+    # Whether the group admits instances that ask to join and drops silent ones
+    # by itself; otherwise an operator replaces members.
+    self_governed: bool = False
     heartbeat_s: float = 0.15
     lease_s: float = 0.6
     election_min_s: float = 0.8
--- a/shallotgate/gateway/_budget.py
+++ b/shallotgate/gateway/_budget.py
@@ -39,7 +39,7 @@
 
     def __init__(self, allowance: ExtraAllowance, now: float) -> None:
         self._allowance = allowance
-        self._tokens = 0.0
+        self._tokens: float = 0
         self._filled_at = now
 
     def earn(self, now: float, entries: int) -> None:
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -44,7 +44,7 @@
             and target.listed.domain not in self.domains_out
         ]
 
-    def set_domains_out(self, revision: int, out: Iterable[str]) -> None:
+    def take_domains_out(self, revision: int, out: Iterable[str]) -> None:
         """Take failure domains out of service, and all others back in."""
         if revision <= self.domains_revision:
             return
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -89,7 +89,7 @@
             return
         if reply.status != 'current':
             self._lose('no leader')
-            self._leader = reply.leader if reply.leader != peer else ''
+            self._leader = '' if reply.leader == peer else reply.leader
             return
         if not self._is_in_touch:
             _LOGGER.info('Leader found.', extra={'leader': peer})
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -215,7 +215,9 @@
             )
         if gathered.status == 'not_run':
             return self._refuse_for_now()
-        return self._wire.refuse(504 if gathered.status == 'late' else 502, None)
+        return self._wire.refuse(
+            504 if gathered.status == 'late' else 502, None
+        )
 
     def _answer_single(self, call: Call, outcome: Outcome) -> Response:
         if outcome.reply is not None:
--- a/shallotgate/gateway/_gather.py
+++ b/shallotgate/gateway/_gather.py
@@ -104,9 +104,8 @@
         if outcome.status == 'answered':
             self._parts.append(outcome)
         is_hopeless = len(self._parts) + self._open < max(self._needed, 1)
-        if not self._open or is_hopeless:
-            self._settled.set()
-        elif self._is_late and self._suffices():
+        is_enough = self._is_late and self._suffices()
+        if not self._open or is_hopeless or is_enough:
             self._settled.set()
 
     def _suffices(self) -> bool:
--- a/shallotgate/gateway/_health.py
+++ b/shallotgate/gateway/_health.py
@@ -26,9 +26,9 @@
 
     def __init__(self) -> None:
         # Time of its replies relative to those of its peers.
-        self._factor = 1.0
+        self._factor: float = 1
         # Share of its replies that failed, 0 to 1.
-        self._failures = 0.0
+        self._failures: float = 0
         self._observed_at = float('-inf')
         self._load: TargetLoad | None = None
         self._load_at = float('-inf')
@@ -57,9 +57,8 @@
 
     def read_stall_ms(self, now: float) -> float:
         """Return for how long the oldest attempt under way has waited."""
-        for sent_at in self.in_flight.values():
-            return (now - sent_at) * _MS_PER_S
-        return 0
+        oldest = next(iter(self.in_flight.values()), now)
+        return (now - oldest) * _MS_PER_S
 
     def is_down(self, now: float) -> bool:
         """Return whether connecting failed a short time ago."""
--- a/shallotgate/gateway/_trace.py
+++ b/shallotgate/gateway/_trace.py
@@ -6,6 +6,8 @@
 _MAX_STEPS = 64
 _MS_PER_S = 1000
 
+_Step = tuple[float, str, dict[str, object]]
+
 
 class RequestTrace:
     """Steps of one request with their times.
@@ -18,7 +20,7 @@
 
     def __init__(self) -> None:
         self._started_at = time.monotonic()
-        self._steps: list[tuple[float, str, dict[str, object]]] = []
+        self._steps: list[_Step] = []
         self.left_out = 0
 
     def add(self, step: str, **inputs: object) -> None:
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from shallotgate.aio import AsyncHttpServer, Handler, ServerLimits
-from shallotgate.consensus import ReplicatedLog
+from shallotgate.consensus import ConsensusTimes, ReplicatedLog
 from shallotgate.generated.node import NodeSettings
 from shallotgate.generated.settings import Member
 from shallotgate.logs import get_logger
@@ -67,7 +67,7 @@
                 for seed in list_seeds(settings)
             ],
             bootstrap=settings.bootstrap,
-            steward=True,
+            times=ConsensusTimes(self_governed=True),
         )
         self._listing = ListingReader(
             listing,
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -162,7 +162,7 @@
     ) -> None:
         self._gateway.entries = update.entries
         if update.domains is not None:
-            self._directory.set_domains_out(
+            self._directory.take_domains_out(
                 update.domains.revision,
                 update.domains.out,
             )
--- a/shallotgate/registry/_client.py
+++ b/shallotgate/registry/_client.py
@@ -130,7 +130,7 @@
         if not isinstance(reply, TableReply) or reply.status != 'done':
             raise NotLeaderError(None)
         document = reply.document
-        if reply.version == held.version:
+        if document is None:
             document = held.document
         return CurrentTable(reply.version, _unpack(document))
 
@@ -184,7 +184,7 @@
             TableReply(
                 status='done',
                 version=registry.version,
-                document=b'' if is_known else registry.document,
+                document=None if is_known else registry.document,
             ),
         )
 
