--- a/shallotgate/consensus/_changes.py
+++ b/shallotgate/consensus/_changes.py
@@ -17,6 +17,7 @@
 )
 from shallotgate.generated.messages import MemberIdentity, TimeoutNow
 from shallotgate.logs import get_logger
+from shallotgate.timers import read_lease_clock
 
 _LOGGER = get_logger('consensus')
 # Time for one attempt to finish a replacement, and between two.
@@ -209,7 +210,7 @@
             self._is_caught_up,
             leadership,
             instance,
-            time.monotonic(),
+            read_lease_clock(),
         )
         if not core.wait_until(is_caught_up, deadline):
             raise ConsensusError(f'{instance} has not caught up in time')
--- a/shallotgate/consensus/_founding.py
+++ b/shallotgate/consensus/_founding.py
@@ -19,6 +19,7 @@
 )
 from shallotgate.generated.settings import Member
 from shallotgate.logs import get_logger
+from shallotgate.timers import read_lease_clock
 from shallotgate.transport import Delivery
 
 _LOGGER = get_logger('consensus')
@@ -205,7 +206,8 @@
             self._pass_on(message)
             return
         with core.changed:
-            core.leadership.joins[message.instance] = time.monotonic()
+            joins = core.leadership.joins
+            joins[message.instance] = read_lease_clock()
             known = core.leadership.identities.get(message.instance)
             core.leadership.identities[message.instance] = message.identity
         if known != message.identity:
--- a/shallotgate/consensus/_leadership.py
+++ b/shallotgate/consensus/_leadership.py
@@ -1,13 +1,13 @@
 """What a leader knows during one term."""
 
 import threading
-import time
 from collections.abc import Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any, Literal
 
 from shallotgate.consensus._group import Group
+from shallotgate.timers import read_lease_clock
 
 
 @dataclass(eq=False)
@@ -27,7 +27,7 @@
 
     instance: str
     match: int = 0
-    # Monotonic time at which the last answered message was sent.
+    # Time of the lease clock at which the last answered message was sent.
     acked_at: float = float('-inf')
 
 
@@ -40,7 +40,7 @@
         self.progress: dict[str, Progress] = {}
         # Identity last heard from each instance.
         self.identities: dict[str, str] = {}
-        # Monotonic time of the last request to join, by instance.
+        # Time of the lease clock of the last request to join, by instance.
         self.joins: dict[str, float] = {}
         self.waiting: list[Proposal] = []
         # Set once a record of this term is applied.
@@ -50,7 +50,7 @@
         self.is_closed = False
         self.threads: list[threading.Thread] = []
         self._lease_s = lease_s
-        self._started_at = time.monotonic()
+        self._started_at = read_lease_clock()
 
     def note_reply(
         self,
@@ -70,12 +70,12 @@
         if self.is_closed or self.is_transferring:
             return False
         acked_at = self._read_quorum_ack(group)
-        return time.monotonic() < acked_at + self._lease_s
+        return read_lease_clock() < acked_at + self._lease_s
 
     def read_silence_s(self, group: Group) -> float:
         """Return for how long no majority has answered, in seconds."""
         acked_at = max(self._read_quorum_ack(group), self._started_at)
-        return time.monotonic() - acked_at
+        return read_lease_clock() - acked_at
 
     def read_quorum_match(self, group: Group, synced_index: int) -> int:
         """Return the last index that a majority has synced."""
@@ -96,7 +96,7 @@
         self, group: Group, max_age_s: float
     ) -> Iterable[Progress]:
         """Return the live voters besides this one, furthest first."""
-        oldest = time.monotonic() - max_age_s
+        oldest = read_lease_clock() - max_age_s
         live = [
             progress
             for identity, progress in self.progress.items()
@@ -108,7 +108,7 @@
         """Return for how long a member has not answered, in seconds."""
         progress = self.progress.get(identity)
         acked_at = progress.acked_at if progress else float('-inf')
-        return time.monotonic() - max(acked_at, self._started_at)
+        return read_lease_clock() - max(acked_at, self._started_at)
 
     def _read_quorum_ack(self, group: Group) -> float:
         acks = {
--- a/shallotgate/consensus/_replicator.py
+++ b/shallotgate/consensus/_replicator.py
@@ -15,6 +15,7 @@
 )
 from shallotgate.logs import get_logger
 from shallotgate.storage import Snapshot
+from shallotgate.timers import read_lease_clock
 
 _LOGGER = get_logger('consensus')
 
@@ -136,7 +137,7 @@
         timeout_s: float,
     ) -> AppendReply | None:
         """Return the reply, None if there is none or leadership is lost."""
-        sent_at = time.monotonic()
+        sent_at = read_lease_clock()
         try:
             reply = self._core.mailbox.call(self._instance, request, timeout_s)
         except TransportError:
--- a/shallotgate/consensus/_steward.py
+++ b/shallotgate/consensus/_steward.py
@@ -12,6 +12,7 @@
 from shallotgate.errors import ConsensusError
 from shallotgate.generated.messages import MemberIdentity
 from shallotgate.logs import get_logger
+from shallotgate.timers import read_lease_clock
 
 _LOGGER = get_logger('consensus')
 # Seconds between two looks at the group; short against the time within which
@@ -114,7 +115,7 @@
         group: Group,
     ) -> str | None:
         """Return an instance that asks to join and is no member."""
-        oldest = time.monotonic() - self._core.times.join_valid_s
+        oldest = read_lease_clock() - self._core.times.join_valid_s
         for instance, asked_at in leadership.joins.items():
             if asked_at > oldest and group.find(instance) is None:
                 return instance
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -14,8 +14,11 @@
 _LOGGER = get_logger('follower')
 # Wait for an answer, in seconds: longer than a leader holds a request.
 _CALL_S = 1.6
+# Wait for the first answer of a member, in seconds: one that runs answers
+# within milliseconds, or holds the request for a moment during an election.
+_FIRST_CALL_S = 0.4
 # Wait between two tries, in seconds.
-_PAUSE_S = 0.1
+_PAUSE_S = 0.02
 
 
 class TierFollower:
@@ -83,7 +86,8 @@
         return self._peers[self._turn % len(self._peers)]
 
     def _follow(self, peer: str) -> None:
-        reply = self._mailbox.call(peer, self._read_position(), _CALL_S)
+        timeout_s = _CALL_S if self._is_in_touch else _FIRST_CALL_S
+        reply = self._mailbox.call(peer, self._read_position(), timeout_s)
         if not isinstance(reply, TierUpdate):
             self._lose('unexpected reply')
             return
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -36,6 +36,18 @@
 # Largest order of an operator, in bytes: some thousands of routes.
 _MAX_ORDER_BYTES = 8 * 1024 * 1024
 
+# Entries can not serve before a leader is known after all were down, so an
+# election starts as soon as the lease of a former leader, three heartbeats
+# long, is certainly over.
+_TIMES = ConsensusTimes(
+    self_governed=True,
+    heartbeat_s=0.1,
+    lease_s=0.3,
+    election_min_s=0.4,
+    election_max_s=0.8,
+    tick_s=0.02,
+)
+
 
 class ControlNode:
     """Member of the control group; the leader also tells the entries."""
@@ -67,7 +79,7 @@
                 for seed in list_seeds(settings)
             ],
             bootstrap=settings.bootstrap,
-            times=ConsensusTimes(self_governed=True),
+            times=_TIMES,
         )
         self._listing = ListingReader(
             listing,
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -23,8 +23,11 @@
 # A request without news is answered after this time, in seconds. It shows the
 # entry that the leader is there.
 _HOLD_S = 0.8
+# While no leader is known, a request is held this long, in seconds: an
+# election takes about as long, and the entry may ask another member then.
+_HOLD_LEADERLESS_S = 0.25
 # Seconds between two looks for requests that were held long enough.
-_LOOK_S = 0.1
+_LOOK_S = 0.05
 # An entry counts for this many seconds after its last request.
 _ENTRY_VALID_S = 6.0
 # Documents kept as dictionaries for those who hold them.
@@ -68,6 +71,7 @@
         mailbox.subscribe(FollowTier, self._on_follow)
         state.subscribe(self._wake)
         listing.subscribe(self._wake)
+        log.on_leadership(self._on_leadership)
 
     def start(self) -> None:
         """Start to answer."""
@@ -93,6 +97,9 @@
             self._held[delivery.sender] = _Held(delivery, now)
             self._changed.notify_all()
 
+    def _on_leadership(self, is_leading: bool) -> None:
+        self._wake()
+
     def _wake(self) -> None:
         with self._changed:
             self._changed.notify_all()
@@ -112,14 +119,7 @@
 
     def _try_answer(self, held: _Held) -> None:
         if not self._log.is_leading():
-            self._drop(held)
-            leader = self._log.leader or ''
-            if leader == self._mailbox.instance:
-                leader = ''
-            self._mailbox.reply(
-                held.delivery,
-                TierUpdate(status='not_leader', leader=leader),
-            )
+            self._turn_away(held)
             return
         update = self._make_update(held.delivery.message)
         has_news = update.table or update.domains or update.listing
@@ -127,6 +127,20 @@
             self._drop(held)
             self._mailbox.reply(held.delivery, update)
 
+    def _turn_away(self, held: _Held) -> None:
+        """Name the leader; wait a little for one if there is none."""
+        leader = self._log.leader or ''
+        if leader == self._mailbox.instance:
+            # Elected, but not ready to lead yet.
+            leader = ''
+        held_s = time.monotonic() - held.since
+        if leader or held_s > _HOLD_LEADERLESS_S:
+            self._drop(held)
+            self._mailbox.reply(
+                held.delivery,
+                TierUpdate(status='not_leader', leader=leader),
+            )
+
     def _drop(self, held: _Held) -> None:
         with self._changed:
             sender = held.delivery.sender
--- /dev/null
+++ b/shallotgate/timers/_clock.py
@@ -0,0 +1,16 @@
+"""Clock for leases."""
+
+import time
+
+# Counts the time for which the machine was suspended too, which the monotonic
+# clock leaves out on Linux.
+_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+
+
+def read_lease_clock() -> float:
+    """Return seconds of a clock that goes on while the machine is suspended.
+
+    A lease measured by the monotonic clock would still look valid after a
+    suspension, when another instance may hold it.
+    """
+    return time.clock_gettime(_CLOCK)
