--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -15,6 +15,7 @@
     Directory,
     ExtraAllowance,
     Gateway,
+    LinkKeeper,
     RequestReporter,
     TierFollower,
     Wire,
@@ -55,6 +56,9 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._metrics = Metrics()
         self._directory = Directory()
+        generator = random.Random()  # noqa: S311 - no secret
+        self._keeper = LinkKeeper(self._directory, generator)
+        self._keeping: asyncio.Task[None] | None = None
         self._gateway = Gateway(
             wire=wire,
             directory=self._directory,
@@ -64,7 +68,7 @@
                 settings.extra_slack,
                 settings.extra_window_s,
             ),
-            generator=random.Random(),  # noqa: S311 - no secret
+            generator=generator,
             reporter=RequestReporter(self._metrics),
         )
         self._mailbox = Mailbox(
@@ -98,6 +102,7 @@
         self._loop = asyncio.get_running_loop()
         self._mailbox.start()
         self._follower.start()
+        self._keeping = asyncio.ensure_future(self._keeper.run())
         await self._server.start()
         await self._ready_server.start()
         if self._metrics_server is not None:
@@ -116,6 +121,8 @@
             await asyncio.sleep(_POLL_S)
             self._server.close_idle()
         self._follower.stop()
+        if self._keeping is not None:
+            self._keeping.cancel()
 
     def find_unready(self) -> str:
         """Return why the entry takes no callers; empty if it does."""
--- /dev/null
+++ b/testkit/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and measurements for the gateway."""
