Take back the early links to each target

Targets close idle links before traffic starts, so they were opened twice. Not ruled out: links opened early only while requests come in, for a new set of shards.

--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -6,7 +6,6 @@
 from shallotgate.gateway._follower import TierFollower
 from shallotgate.gateway._gateway import Gateway
 from shallotgate.gateway._gather import merge_records
-from shallotgate.gateway._keeper import LinkKeeper
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._wire import (
     CallerRequest,
@@ -21,7 +20,6 @@
     'ExtraAllowance',
     'ExtraBudget',
     'Gateway',
-    'LinkKeeper',
     'ReplyFacts',
     'RequestReporter',
     'Target',
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -34,14 +34,6 @@
         self.domains_revision = -1
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
-        # Targets that were listed since ``take_unlinked`` was called.
-        self._unlinked: list[Target] = []
-
-    def take_unlinked(self) -> list[Target]:
-        """Return the targets that were listed since the last call."""
-        unlinked = self._unlinked
-        self._unlinked = []
-        return unlinked
 
     def list_usable(self, service: str) -> Sequence[Target]:
         """Return the targets of a service that may get new work."""
@@ -96,9 +88,7 @@
             if known is not None:
                 known.pool.close()
             pool = LinkPool(listed.address)
-            target = Target(listed, pool, cold_until)
-            self._targets[listed.target] = target
-            self._unlinked.append(target)
+            self._targets[listed.target] = Target(listed, pool, cold_until)
             _LOGGER.info('Target listed.', extra=_describe(listed))
             return
         if known.listed.leaving != listed.leaving:
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -15,7 +15,6 @@
     Directory,
     ExtraAllowance,
     Gateway,
-    LinkKeeper,
     RequestReporter,
     TierFollower,
     Wire,
@@ -56,9 +55,6 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._metrics = Metrics()
         self._directory = Directory()
-        generator = random.Random()  # noqa: S311 - no secret
-        self._keeper = LinkKeeper(self._directory, generator)
-        self._keeping: asyncio.Task[None] | None = None
         self._gateway = Gateway(
             wire=wire,
             directory=self._directory,
@@ -68,7 +64,7 @@
                 settings.extra_slack,
                 settings.extra_window_s,
             ),
-            generator=generator,
+            generator=random.Random(),  # noqa: S311 - no secret
             reporter=RequestReporter(self._metrics),
         )
         self._mailbox = Mailbox(
@@ -102,7 +98,6 @@
         self._loop = asyncio.get_running_loop()
         self._mailbox.start()
         self._follower.start()
-        self._keeping = asyncio.ensure_future(self._keeper.run())
         await self._server.start()
         await self._ready_server.start()
         if self._metrics_server is not None:
@@ -121,8 +116,6 @@
             await asyncio.sleep(_POLL_S)
             self._server.close_idle()
         self._follower.stop()
-        if self._keeping is not None:
-            self._keeping.cancel()
 
     def find_unready(self) -> str:
         """Return why the entry takes no callers; empty if it does."""
--- a/testkit/gateway/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and measurements for the gateway."""
