Test the gateway under pauses, sheds and losses without network

A loop in virtual time plays targets that pause, slow down, shed, break or are down. Guards hedging, the objective, budgets, refusals and cancellation.

--- /dev/null
+++ b/shallotgate/gateway/tests/test_dispatch.py
@@ -0,0 +1,125 @@
+"""Attempts of one request on one service, without network."""
+
+import asyncio
+
+import pytest
+from testkit.gateway import SimulatedEntry
+from testkit.virtual import run_virtual
+
+
+def count_arrivals(entry):
+    return sum(len(target.arrived) for target in entry.targets['s0'])
+
+
+def ask_once(prepare, **route):
+    """Return the status, the arrivals and the finished runs."""
+
+    async def play():
+        entry = SimulatedEntry(shards=1, **route)
+        prepare(entry.targets['s0'])
+        response, duration_ms = await entry.ask('x')
+        await asyncio.sleep(1)
+        finished = sum(len(one.finished) for one in entry.targets['s0'])
+        return response.status, count_arrivals(entry), finished, duration_ms
+
+    return run_virtual(play())
+
+
+def lose(targets):
+    for target in targets:
+        target.is_losing = True
+
+
+def shed(targets):
+    for target in targets:
+        target.is_not_run = True
+
+
+def go_down(targets):
+    for target in targets:
+        target.is_up = False
+
+
+def test_once_only_request_is_not_sent_again_after_a_lost_reply():
+    """Guards against a request that runs twice or is called not run."""
+    status, arrivals, _, _ = ask_once(lose, is_repeatable=False)
+    assert (status, arrivals) == (502, 1)
+
+
+def test_once_only_request_goes_on_after_a_target_did_not_run_it():
+    """Guards against refusals although another target has room."""
+
+    def prepare(targets):
+        for target in targets[:2]:
+            target.is_not_run = True
+
+    async def play():
+        entry = SimulatedEntry(shards=1, is_repeatable=False, max_attempts=1)
+        await entry.ask_many(30, per_s=100)
+        prepare(entry.targets['s0'])
+        return [
+            (await entry.ask(f'x{number}'))[0].status for number in range(5)
+        ]
+
+    assert run_virtual(play()) == [200] * 5
+
+
+def test_slow_once_only_request_gets_no_second_attempt():
+    """Guards against hedging what may run only once."""
+
+    def prepare(targets):
+        for target in targets:
+            target.work_s = 0.5
+
+    status, arrivals, finished, _ = ask_once(prepare, is_repeatable=False)
+    assert (status, arrivals, finished) == (200, 1, 1)
+
+
+@pytest.mark.parametrize('is_repeatable', [True, False])
+def test_refused_by_all_targets_is_not_run(is_repeatable):
+    """Guards against a failure status for what certainly never ran."""
+    status, _, finished, duration_ms = ask_once(
+        shed,
+        is_repeatable=is_repeatable,
+    )
+    assert (status, finished) == (503, 0)
+    assert duration_ms < 50
+
+
+def test_no_target_up_is_refused_at_once():
+    """Guards against callers that wait for a service that is down."""
+    status, arrivals, _, duration_ms = ask_once(go_down)
+    assert (status, arrivals) == (503, 0)
+    assert duration_ms < 50
+
+
+def test_repeatable_request_runs_on_at_most_max_attempts_targets():
+    """Guards against requests that visit every target."""
+    status, arrivals, _, _ = ask_once(lose, max_attempts=2)
+    assert status == 502
+    assert arrivals <= 2
+
+
+def test_unanswered_request_ends_at_its_deadline():
+    """Guards against callers that get no final answer."""
+
+    def prepare(targets):
+        for target in targets:
+            target.work_s = 60
+
+    status, _, _, duration_ms = ask_once(prepare, timeout_ms=300)
+    assert status == 504
+    assert 280 < duration_ms < 300
+
+
+def test_extra_attempts_stay_within_the_budget_while_targets_shed():
+    """Guards against retries that multiply the load on a shedding service."""
+
+    async def play():
+        entry = SimulatedEntry(shards=1, slack=20)
+        shed(entry.targets['s0'])
+        await entry.ask_many(500, per_s=50)
+        return count_arrivals(entry)
+
+    # 10 s of 50 requests: 0.2 of them and the slack, besides the first ones.
+    assert run_virtual(play()) <= 500 + 0.2 * 500 + 20
--- /dev/null
+++ b/shallotgate/gateway/tests/test_stragglers.py
@@ -0,0 +1,122 @@
+"""Load pattern: a fan-out meets targets that pause or are slow.
+
+Each target stops for a moment now and then, so that most queries over many
+shards meet a paused one. No network is used.
+"""
+
+import asyncio
+
+from testkit.gateway import SimulatedEntry
+from testkit.virtual import run_virtual
+
+
+def read_missing(response):
+    return int(dict(response.headers)[b'missing'])
+
+
+def test_a_paused_target_costs_a_second_attempt_and_no_objective():
+    """Guards against answers that wait for the end of a pause."""
+
+    async def play():
+        entry = SimulatedEntry(shards=10)
+        loop = asyncio.get_running_loop()
+        await entry.ask_many(40, per_s=50)
+        for targets in entry.targets.values():
+            targets[0].paused_until = loop.time() + 0.15
+        return await entry.ask('late')
+
+    response, duration_ms = run_virtual(play())
+    assert response.status == 200
+    assert read_missing(response) == 0
+    assert duration_ms < 60
+
+
+def test_pauses_by_turns_leave_answers_whole_and_in_time():
+    """Guards against hedges that come too late or not at all."""
+
+    async def pause(entry):
+        loop = asyncio.get_running_loop()
+        targets = entry.list_all_targets()
+        while True:
+            for target in targets:
+                target.paused_until = loop.time() + 0.1
+                await asyncio.sleep(2.4 / len(targets))
+
+    async def play():
+        entry = SimulatedEntry(shards=10)
+        pausing = asyncio.ensure_future(pause(entry))
+        answers = await entry.ask_many(600, per_s=60)
+        pausing.cancel()
+        arrivals = sum(len(one.arrived) for one in entry.list_all_targets())
+        return answers, arrivals
+
+    answers, arrivals = run_virtual(play())
+    in_time = [each for each in answers if each[1] < 100]
+    whole = [one for one, _ in in_time if read_missing(one) == 0]
+    assert len(in_time) == 600
+    assert len(whole) > 570
+    assert arrivals < 600 * 10 * 1.2
+
+
+def test_slow_target_is_avoided_after_a_few_replies():
+    """Guards against a target that is ten times as slow in each query."""
+
+    async def play():
+        entry = SimulatedEntry(shards=1, objective_ms=200)
+        await entry.ask_many(50, per_s=50)
+        slow = entry.targets['s0'][0]
+        slow.work_s = 0.1
+        before = len(slow.arrived)
+        answers = await entry.ask_many(200, per_s=50)
+        return answers, len(slow.arrived) - before
+
+    answers, arrivals = run_virtual(play())
+    assert arrivals < 20
+    assert max(duration for _, duration in answers) < 130
+
+
+def test_partial_answer_at_the_objective_if_enough_shards_are_in():
+    """Guards against whole queries that are late for one dead shard."""
+
+    async def play():
+        entry = SimulatedEntry(shards=10)
+        await entry.ask_many(20, per_s=50)
+        for target in entry.targets['s3']:
+            target.work_s = 10
+        return await entry.ask('one shard hangs')
+
+    response, duration_ms = run_virtual(play())
+    assert response.status == 200
+    assert read_missing(response) == 1
+    assert 70 < duration_ms < 100
+
+
+def test_fan_out_that_can_not_succeed_ends_at_once():
+    """Guards against requests that are held until their deadline."""
+
+    async def play():
+        entry = SimulatedEntry(shards=4, slack=0)
+        for shard in ('s0', 's1'):
+            for target in entry.targets[shard]:
+                target.is_up = False
+        return await entry.ask('two of four shards are down')
+
+    response, duration_ms = run_virtual(play())
+    assert response.status == 502
+    assert duration_ms < 20
+
+
+def test_work_is_cancelled_soon_after_the_caller_left():
+    """Guards against targets that work for nobody."""
+
+    async def play():
+        entry = SimulatedEntry(shards=3)
+        for target in entry.list_all_targets():
+            target.work_s = 5
+        asking = asyncio.ensure_future(entry.ask('gone'))
+        await asyncio.sleep(0.05)
+        asking.cancel()
+        await asyncio.sleep(0.45)
+        return entry.count_in_flight()
+
+    assert run_virtual(play()) == 0
--- /dev/null
+++ b/testkit/gateway/__init__.py
@@ -0,0 +1,5 @@
+"""Targets without network, for tests of the gateway under load."""
+
+from testkit.gateway._simulation import SimulatedEntry, SimulatedTarget
+
+__all__ = ('SimulatedEntry', 'SimulatedTarget')
--- /dev/null
+++ b/testkit/gateway/_simulation.py
@@ -0,0 +1,126 @@
+"""An entry with simulated targets."""
+
+import asyncio
+import random
+
+from shallotgate.aio import IncomingRequest, Response
+from shallotgate.gateway import (
+    Directory,
+    ExtraAllowance,
+    Gateway,
+    RequestReporter,
+)
+from shallotgate.generated.messages import ListedTarget, ListingUpdate
+from shallotgate.metrics import Metrics
+from shallotgate.routes import Route, RoutingTable, Service, WeightedService
+from testkit.gateway._plain_wire import PlainWire
+from testkit.gateway._targets import SimulatedPool, SimulatedTarget
+
+_MS_PER_S = 1000
+_DOMAINS = 'abc'
+_SEED = 7
+_ALLOWED_RATIO = 0.2
+_WINDOW_S = 10
+_MAX_CONNECTIONS = 50
+
+
+class SimulatedEntry:
+    """A gateway whose one route goes to ``shards`` services.
+
+    With one shard the route is a plain one, else a fan-out. Further keywords
+    are fields of the route.
+    """
+
+    def __init__(
+        self,
+        shards: int,
+        copies: int = 3,
+        slack: float = 100,
+        **route: object,
+    ) -> None:
+        self.directory = Directory()
+        self.gateway = Gateway(
+            wire=PlainWire(),
+            directory=self.directory,
+            domain=_DOMAINS[0],
+            allowance=ExtraAllowance(_ALLOWED_RATIO, slack, _WINDOW_S),
+            generator=random.Random(_SEED),  # noqa: S311 - no secret
+            reporter=RequestReporter(Metrics()),
+        )
+        names = tuple(f's{number}' for number in range(shards))
+        self.targets = {
+            name: [SimulatedTarget(f'{name}-{copy}') for copy in range(copies)]
+            for name in names
+        }
+        self._list_targets()
+        fields: dict[str, object] = {
+            'is_repeatable': True,
+            'timeout_ms': 1000,
+            'objective_ms': 100,
+            'max_attempts': 2,
+            'shards': names if shards > 1 else (),
+            'choices': () if shards > 1 else (WeightedService(names[0]),),
+            'top_count': 5,
+            'min_coverage': 0.8,
+            **route,
+        }
+        services = tuple(
+            Service(name, max_connections=_MAX_CONNECTIONS) for name in names
+        )
+        only_route = Route('r', 'host', '/', **fields)  # type: ignore[arg-type]
+        self.gateway.put_in_force(RoutingTable(1, (only_route,), services))
+
+    async def ask(self, request_id: str) -> tuple[Response, float]:
+        """Return the answer and its time in milliseconds."""
+        loop = asyncio.get_running_loop()
+        begun_at = loop.time()
+        response = await self.gateway.handle(
+            IncomingRequest(b'GET', b'/x', [], request_id.encode(), begun_at),
+        )
+        return response, (loop.time() - begun_at) * _MS_PER_S
+
+    async def ask_many(
+        self,
+        count: int,
+        per_s: float,
+    ) -> list[tuple[Response, float]]:
+        """Send requests at a rate and return their answers."""
+        tasks = []
+        for number in range(count):
+            tasks.append(asyncio.ensure_future(self.ask(f'q{number}')))
+            await asyncio.sleep(1 / per_s)  # noqa: WPS476 - keeps the rate
+        return list(await asyncio.gather(*tasks))
+
+    def list_all_targets(self) -> list[SimulatedTarget]:
+        """Return the targets of all services."""
+        return [one for targets in self.targets.values() for one in targets]
+
+    def count_in_flight(self) -> int:
+        """Return how many attempts are under way."""
+        return sum(
+            len(known.health.in_flight)
+            for service in self.targets
+            for known in self.directory.list_usable(service)
+        )
+
+    def _list_targets(self) -> None:
+        listed = [
+            ListedTarget(
+                target=target.name,
+                service=service,
+                address=target.name,
+                domain=_DOMAINS[number % len(_DOMAINS)],
+                slots=target.slots,
+            )
+            for service, targets in self.targets.items()
+            for number, target in enumerate(targets)
+        ]
+        self.directory.update(
+            ListingUpdate(source='x', revision=1, full=True, targets=listed),
+        )
+        by_name = {target.name: target for target in self.list_all_targets()}
+        for service in self.targets:
+            for known in self.directory.list_usable(service):
+                known.pool = SimulatedPool(  # type: ignore[assignment]
+                    by_name[known.listed.target],
+                )
--- /dev/null
+++ b/testkit/gateway/_targets.py
@@ -0,0 +1,129 @@
+"""Simulated targets and the links to them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from shallotgate.aio import Headers, Reply
+from shallotgate.errors import TargetConnectError, TargetLostError
+
+_RECORD = b'%016d'
+_RECORD_LIMIT = 10**9
+_CONNECT_S = 0.001
+_SHED_STATUS = 503
+
+
+@dataclass
+class SimulatedTarget:
+    """Behaviour of one target; tests change it while requests run."""
+
+    name: str
+    # Seconds of work for one request.
+    work_s: float = 0.01
+    # Requests that it works on at a time.
+    slots: int = 4
+    # Time of the loop until which it answers nothing; then it goes on.
+    paused_until: float = 0
+    # Whether it turns requests away without running them.
+    is_not_run: bool = False
+    # Whether it breaks the connection instead of answering.
+    is_losing: bool = False
+    # Whether connections can be opened.
+    is_up: bool = True
+    # Ids of the requests that arrived, and of those that it finished.
+    arrived: list[bytes] = field(default_factory=list)
+    finished: list[bytes] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Make the slots."""
+        self._gate = asyncio.Semaphore(self.slots)
+
+    async def work(self, request_id: bytes) -> Reply:
+        """Work on a request and answer it."""
+        loop = asyncio.get_running_loop()
+        self.arrived.append(request_id)
+        if self.is_not_run:
+            return Reply(_SHED_STATUS, [(b'not-run', b'1')], b'')
+        async with self._gate:
+            await asyncio.sleep(self.work_s)
+            await asyncio.sleep(max(self.paused_until - loop.time(), 0))
+        if self.is_losing:
+            raise TargetLostError('lost')
+        self.finished.append(request_id)
+        signature = b'%s.%s' % (self.name.encode(), request_id)
+        body = _RECORD % random.randrange(_RECORD_LIMIT)  # noqa: S311
+        return Reply(200, [(b'signature', signature)], body)
+
+
+class SimulatedLink:
+    """A connection to a simulated target."""
+
+    kept_until = float('inf')
+
+    def __init__(self, target: SimulatedTarget) -> None:
+        self._target = target
+        self._task: asyncio.Task[Reply] | None = None
+        self.is_usable = True
+
+    def send(
+        self,
+        request: bytes,
+        is_own: Callable[[Headers], bool],
+    ) -> 'asyncio.Future[Reply]':
+        """Let the target work on a request."""
+        self._task = asyncio.ensure_future(self._target.work(request))
+        waiter: asyncio.Future[Reply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._task.add_done_callback(lambda task: _copy(task, waiter))
+        return waiter
+
+    def close(self) -> None:
+        """Cancel the work."""
+        self.is_usable = False
+        if self._task is not None:
+            self._task.cancel()
+
+
+class SimulatedPool:
+    """Links to a simulated target; each takes a while to open."""
+
+    def __init__(self, target: SimulatedTarget) -> None:
+        self._target = target
+        self._idle: list[SimulatedLink] = []
+        self.size = 0
+
+    def take_idle(self) -> SimulatedLink | None:
+        """Return an idle link, None without one."""
+        return self._idle.pop() if self._idle else None
+
+    async def open(self, timeout_s: float) -> SimulatedLink:
+        """Open a link."""
+        await asyncio.sleep(_CONNECT_S)
+        if not self._target.is_up:
+            raise TargetConnectError('refused')
+        self.size += 1
+        return SimulatedLink(self._target)
+
+    def give_back(self, link: SimulatedLink) -> None:
+        """Keep a link."""
+        if link.is_usable:
+            self._idle.append(link)
+
+    def close(self) -> None:
+        """Forget the links."""
+        self._idle.clear()
+
+
+def _copy(
+    task: 'asyncio.Task[Reply]',
+    waiter: 'asyncio.Future[Reply]',
+) -> None:
+    if waiter.done():
+        return
+    error = TargetLostError('closed') if task.cancelled() else task.exception()
+    if error is None:
+        waiter.set_result(task.result())
+    else:
+        waiter.set_exception(error)
