Count a control member's silence from the start of its process

Cause: after all machines were down, 0.55 s of the start of a control member and then another 0.4 to 0.8 s pass before an election; a member may not vote while the lease of a former leader may hold. Change: the process cannot have answered a leader before it began, so its start counts and not the end of its loading.

--- a/shallotgate/consensus/_core.py
+++ b/shallotgate/consensus/_core.py
@@ -48,9 +48,9 @@
         self.applied = 0
         # Proposals written to the log and not applied yet, by index.
         self.proposals: dict[int, Proposal] = {}
-        # Monotonic time of the last message from a leader. A start counts as
-        # one: before it this member may have extended a leader's lease.
-        self.heard_at = time.monotonic()
+        # Monotonic time of the last message from a leader. The start counts
+        # as one: before it this member may have extended a leader's lease.
+        self.heard_at = times.silent_since or time.monotonic()
         self.notifier = LeadershipNotifier()
         self._commit = 0
 
@@ -84,7 +84,6 @@
         snapshot = self.journal.snapshot
         self._commit = snapshot.index
         self.applied = snapshot.index
-        self.heard_at = time.monotonic()
         return snapshot
 
     def store_vote(self, term: int, voted: str) -> None:
--- a/shallotgate/consensus/_times.py
+++ b/shallotgate/consensus/_times.py
@@ -14,6 +14,9 @@
     # Whether the group admits instances that ask to join and drops silent ones
     # by itself; otherwise an operator replaces members.
     self_governed: bool = False
+    # Monotonic time since which this instance has certainly answered no
+    # leader, if that is earlier than its construction; None if unknown.
+    silent_since: float | None = None
     heartbeat_s: float = 0.15
     lease_s: float = 0.6
     election_min_s: float = 0.8
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -22,7 +22,7 @@
     TargetListing,
 )
 from shallotgate.routes import TableCodec
-from shallotgate.timers import TimerService
+from shallotgate.timers import TimerService, read_process_seen_at
 from shallotgate.transport import Mailbox
 
 _LOGGER = get_logger('node')
@@ -46,6 +46,8 @@
     election_min_s=0.4,
     election_max_s=0.8,
     tick_s=0.02,
+    # The former process of this instance ended before this one began.
+    silent_since=read_process_seen_at(),
 )
 
 
--- a/shallotgate/timers/_clock.py
+++ b/shallotgate/timers/_clock.py
@@ -6,6 +6,8 @@
 # clock leaves out on Linux.
 _CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
+_SEEN_AT = time.monotonic()
+
 
 def read_lease_clock() -> float:
     """Return seconds of a clock that goes on while the machine is suspended.
@@ -14,3 +16,11 @@
     suspension, when another instance may hold it.
     """
     return time.clock_gettime(_CLOCK)
+
+
+def read_process_seen_at() -> float:
+    """Return a monotonic time at which this process ran already.
+
+    All that a former process of this instance did came before it.
+    """
+    return _SEEN_AT
