--- a/shallotgate/consensus/tests/cluster.py
+++ b/shallotgate/consensus/tests/cluster.py
@@ -91,7 +91,7 @@
             [
                 Member(instance=each, address=address)
                 for each, address in cluster.addresses.items()
-                if each in cluster.founders
+                if each in (cluster.founders or cluster.addresses)
             ],
             bootstrap,
             cluster.times,
@@ -119,8 +119,9 @@
         self.folder = folder
         self.times = times or ConsensusTimes()
         self.addresses = {name: free_address() for name in names}
-        # Members that are named in the settings and found the group.
-        self.founders = names
+        # Members that are named in the settings and found the group; all if
+        # it is empty.
+        self.founders = ''
         self.cuts: set[tuple[str, str]] = set()
         self.nodes: dict[str, Node] = {}
 
