Give each entry second attempts from the start, and prefer open links

Change: a part of the slack is there from the start, within the bound also if all entries restart once; a target without a link costs the time to open one.

--- a/shallotgate/gateway/_budget.py
+++ b/shallotgate/gateway/_budget.py
@@ -2,9 +2,14 @@
 
 from dataclasses import dataclass
 
-# Part of the allowance that is used: arrivals at the edge of the window and a
-# changing number of entries must not exceed it.
-_USED_PART = 0.8
+# Part of the ratio that is used: requests that are counted by this entry may
+# reach the service a little later.
+_RATIO_PART = 0.8
+# Part of the slack that all entries together may have saved up. A restarted
+# entry has its part once more, so twice this may be spent in a window.
+_SAVED_PART = 0.25
+# Part of the slack that flows to all entries together in a window.
+_FLOW_PART = 0.4
 
 
 @dataclass(frozen=True)
@@ -23,35 +28,38 @@
     """This entry's share of the extra attempts on one service.
 
     Each request adds the ratio, and time adds this entry's share of the
-    slack; at most one share is saved up. Spending in any window then stays
-    within the ratio of its requests and the slack. A restarted entry begins
-    with nothing, because its former process may have spent the share.
+    slack. A part of the share is there from the start and can be saved up, so
+    that the first requests have second attempts too. Spending in any window
+    stays within the ratio of its requests and the slack, also if all entries
+    restart once in it, as long as the slack is larger than the number of
+    entries.
 
-    >>> budget = ExtraBudget(ExtraAllowance(0.5, 0, 10), now=0)
+    >>> budget = ExtraBudget(ExtraAllowance(0.5, 0, 10))
     >>> budget.earn(0, entries=1)
     >>> budget.take()
-    False
-    >>> for _ in range(2):
-    ...     budget.earn(0, entries=1)
-    >>> budget.take()
     True
+    >>> budget.take()
+    False
     """
 
-    def __init__(self, allowance: ExtraAllowance, now: float) -> None:
+    def __init__(self, allowance: ExtraAllowance) -> None:
         self._allowance = allowance
         self._tokens: float = 0
-        self._filled_at = now
+        self._filled_at: float | None = None
 
     def earn(self, now: float, entries: int) -> None:
         """Note a request to the service; ``now`` is in monotonic seconds."""
         allowance = self._allowance
-        # Half of the share may be saved up and half flows in a window.
-        share = allowance.slack * _USED_PART / max(entries, 1) / 2
-        inflow = share * (now - self._filled_at) / allowance.window_s
-        self._filled_at = now
-        earned = allowance.ratio * _USED_PART + inflow
+        share = allowance.slack / max(entries, 1)
         # At least one whole attempt, or a small share could never be used.
-        self._tokens = min(self._tokens + earned, max(share, 1))
+        saved = max(share * _SAVED_PART, 1)
+        if self._filled_at is None:
+            self._tokens = saved
+            self._filled_at = now
+        elapsed = (now - self._filled_at) / allowance.window_s
+        self._filled_at = now
+        earned = allowance.ratio * _RATIO_PART + share * _FLOW_PART * elapsed
+        self._tokens = min(self._tokens + earned, saved)
 
     def take(self) -> bool:
         """Spend one extra attempt; returns whether there was one."""
--- a/shallotgate/gateway/_choice.py
+++ b/shallotgate/gateway/_choice.py
@@ -65,6 +65,7 @@
         # which on average lasts about as long again.
         cost += max(health.read_stall_ms(now) - work_ms, 0)
         cost += health.read_failures(now) * _FAILURE_MS
+        cost += target.pool.wait_ms
         if target.listed.domain != self._domain:
             cost += _REMOTE_MS
         return cost * (1 + _JITTER * self._generator.random())
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -173,7 +173,7 @@
         now = time.monotonic()
 
         def make_dispatch(service: str) -> Dispatch:  # noqa: WPS430
-            budget = self._find_budget(service, now)
+            budget = self._find_budget(service)
             budget.earn(now, self.entries)
             links = in_force.max_connections[service] * _LINKS_PART
             ports = ServicePorts(
@@ -189,10 +189,10 @@
 
         return make_dispatch
 
-    def _find_budget(self, service: str, now: float) -> ExtraBudget:
+    def _find_budget(self, service: str) -> ExtraBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = ExtraBudget(self._allowance, now)
+            budget = ExtraBudget(self._allowance)
             self._budgets[service] = budget
         return budget
 
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -11,6 +11,7 @@
 _RECORD = b'%016d'
 _RECORD_LIMIT = 10**9
 _CONNECT_S = 0.001
+_MS_PER_S = 1000
 _SHED_STATUS = 503
 
 
@@ -94,6 +95,11 @@
         self._idle: list[SimulatedLink] = []
         self.size = 0
 
+    @property
+    def wait_ms(self) -> float:
+        """Time until a request can be sent, in milliseconds."""
+        return 0 if self._idle else _CONNECT_S * _MS_PER_S
+
     def take_idle(self) -> SimulatedLink | None:
         """Return an idle link, None without one."""
         return self._idle.pop() if self._idle else None
