Never wait for the reader of the log; name the inputs of each send

A reader that stops costs lines, which are counted, and no time: the test writes 20,000 lines to a pipe that nobody reads. The line of a request names the version of its table, the time allowed, and queue and speed of each target as seen when it was chosen.

--- a/shallotgate/gateway/_calls.py
+++ b/shallotgate/gateway/_calls.py
@@ -17,6 +17,8 @@
     caller: CallerRequest
     body: bytes
     route: Route
+    # Version of the table that the route is from.
+    version: int
     received_at: float
     # When the caller or the operator no longer wants an answer.
     deadline: float
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -151,6 +151,8 @@
             'sent' if self._sends == 1 else 'sent_again',
             service=self._service,
             target=target.listed.target,
+            queue=round(target.health.read_queue(attempt.started_at), 1),
+            factor=round(target.health.read_factor(attempt.started_at), 1),
         )
         ports.on_event('sent' if self._sends == 1 else 'sent_again')
         wait_ms = max(
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -149,6 +149,7 @@
             caller=caller,
             body=request.body,
             route=route,
+            version=self.version,
             received_at=request.received_at,
             deadline=request.received_at
             + patience_ms / _MS_PER_S
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -92,6 +92,10 @@
             extra={
                 'request_id': call.caller.request_id.decode('latin-1'),
                 'route': call.route.name,
+                'table_version': call.version,
+                'time_allowed_ms': round(
+                    (call.deadline - call.received_at) * _MS_PER_S,
+                ),
                 'status': status,
                 'duration_ms': round(duration_ms, 1),
                 'objective_ms': call.route.objective_ms,
--- a/shallotgate/logs/_json.py
+++ b/shallotgate/logs/_json.py
@@ -3,13 +3,23 @@
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 from pythonjsonlogger.json import JsonFormatter
 
 _FIELDS = '%(asctime)s %(levelname)s %(message)s'
 
 
+class LineStream(Protocol):
+    """Where log lines go."""
+
+    def write(self, text: str, /) -> object:
+        """Write a text."""
+
+    def flush(self) -> object:
+        """Hand on what was written."""
+
+
 class PartLogger(logging.LoggerAdapter[logging.Logger]):
     """Logger that puts the name of its part before each message.
 
@@ -38,7 +48,7 @@
 def configure_logs(
     level: str,
     instance: str,
-    stream: TextIO = sys.stderr,
+    stream: LineStream = sys.stderr,
 ) -> None:
     """Send JSON lines to a stream, each with the instance's id.
 
--- /dev/null
+++ b/shallotgate/logs/tests/test_stream.py
@@ -0,0 +1,26 @@
+import os
+import time
+
+from shallotgate.logs import DroppingStream
+
+
+def test_reader_that_stops_costs_lines_and_no_time():
+    """Guards against requests that wait for whoever reads the log."""
+    reader, writer = os.pipe()
+    stream = DroppingStream(writer)
+    begun_at = time.monotonic()
+    for number in range(20_000):
+        stream.write(f'line {number:05} {"x" * 80}\n')
+    assert time.monotonic() - begun_at < 5
+    assert stream.dropped > 10_000
+    os.set_blocking(reader, False)
+    received = b''
+    while True:
+        stream.flush()
+        try:
+            received += os.read(reader, 65536)
+        except BlockingIOError:
+            break
+    lines = received.splitlines()
+    assert len(lines) + stream.dropped == 20_000
+    assert all(len(line) == 91 for line in lines)
--- a/shallotgate/node/_main.py
+++ b/shallotgate/node/_main.py
@@ -14,7 +14,7 @@
 
 from shallotgate.errors import SettingsError, ShallotgateError
 from shallotgate.generated.node import NodeSettings
-from shallotgate.logs import configure_logs, get_logger
+from shallotgate.logs import DroppingStream, configure_logs, get_logger
 from shallotgate.node._settings import load_node_settings
 
 _LOGGER = get_logger('node')
@@ -42,15 +42,20 @@
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         os._exit(_EXIT_BAD_INPUT)
-    configure_logs(settings.log_level, settings.name, sys.stdout)
+    stream = DroppingStream(sys.stdout.fileno())
+    configure_logs(settings.log_level, settings.name, stream)
     status = 0
     try:
         uvloop.run(_run(settings_path, settings, make_node))
     except (ShallotgateError, OSError):
         _LOGGER.exception('Start failed.')
         status = _EXIT_FAILED
+    if stream.dropped:
+        _LOGGER.warning(
+            'Log lines were dropped.', extra={'lines': stream.dropped}
+        )
     with contextlib.suppress(OSError):
-        sys.stdout.flush()
+        stream.flush()
     # Threads inside the messaging library must not meet an interpreter that
     # is being torn down.
     os._exit(status)
