--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -142,6 +142,8 @@
 
     def _send(self, target: Target) -> None:
         ports = self._ports
+        now = time.monotonic()
+        queue = target.health.read_queue(now)
         attempt = Attempt(ports.wire, self._call, target, self._note_reply)
         self._live[attempt.future] = attempt
         self._tried.append(target)
@@ -151,15 +153,15 @@
             'sent' if self._sends == 1 else 'sent_again',
             service=self._service,
             target=target.listed.target,
-            queue=round(target.health.read_queue(attempt.started_at), 1),
-            factor=round(target.health.read_factor(attempt.started_at), 1),
+            queue=round(queue, 1),
+            factor=round(target.health.read_factor(now), 1),
         )
         ports.on_event('sent' if self._sends == 1 else 'sent_again')
         wait_ms = max(
             ports.latency.quantile(_HEDGE_QUANTILE) * _HEDGE_FACTOR,
             _HEDGE_MIN_MS,
         )
-        self._hedge_at = time.monotonic() + wait_ms / _MS_PER_S
+        self._hedge_at = now + wait_ms / _MS_PER_S
 
     def _note_reply(self, attempt: Attempt, duration_ms: float) -> None:
         latency = self._ports.latency
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -209,6 +209,7 @@
             if gathered.missing:
                 self._reporter.count('partial')
                 call.trace.add('partial', missing=gathered.missing)
+                call.trace.is_notable = True
             return self._wire.make_merged(
                 gathered.signatures,
                 gathered.missing,
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -68,10 +68,13 @@
             status=str(status),
         )
         self._requests += 1
-        is_late = duration_ms > call.route.objective_ms
-        if status < 300 and not is_late and self._requests % _SAMPLE:
-            return
-        if self._is_allowed():
+        is_good = (
+            0 < status < 300
+            and duration_ms <= call.route.objective_ms
+            and not call.trace.is_notable
+        )
+        is_sampled = not self._requests % _SAMPLE
+        if (is_sampled or not is_good) and self._is_allowed():
             self._log(call, status, duration_ms)
 
     def _is_allowed(self) -> bool:
--- a/shallotgate/gateway/_trace.py
+++ b/shallotgate/gateway/_trace.py
@@ -22,6 +22,8 @@
         self._started_at = time.monotonic()
         self._steps: list[_Step] = []
         self.left_out = 0
+        # Whether the answer lacks something, so that the request is logged.
+        self.is_notable = False
 
     def add(self, step: str, **inputs: object) -> None:
         """Note a decision and the inputs that decided it."""
--- /dev/null
+++ b/shallotgate/gateway/tests/test_report.py
@@ -0,0 +1,61 @@
+"""Log lines of requests, without network."""
+
+import logging
+
+import pytest
+
+from testkit.gateway import SimulatedEntry
+from testkit.virtual import run_virtual
+
+
+@pytest.fixture(autouse=True)
+def log_level(caplog):
+    caplog.set_level(logging.INFO, 'shallotgate.request')
+
+
+def list_steps(record):
+    return [step['step'] for step in record.steps]
+
+
+def play(caplog, count, prepare=lambda entry: None, per_s=50):
+    async def ask():
+        entry = SimulatedEntry(shards=10)
+        await entry.ask_many(20, per_s=50)
+        caplog.clear()
+        prepare(entry)
+        await entry.ask_many(count, per_s)
+
+    run_virtual(ask())
+    return [one for one in caplog.records if hasattr(one, 'request_id')]
+
+
+def test_partial_answer_is_logged_with_the_missing_shard(caplog):
+    """Guards against partial answers that leave no trace."""
+
+    def prepare(entry):
+        for target in entry.targets['s3']:
+            target.work_s = 10
+
+    (record,) = play(caplog, 1, prepare)
+    assert record.status == 200
+    assert list_steps(record)[-1] == 'partial'
+    sent = [step for step in record.steps if step['step'].startswith('sent')]
+    assert [one['service'] for one in sent].count('s3') == 2
+    assert {'queue', 'factor', 'target'} <= set(sent[0])
+
+
+def test_good_requests_are_a_sample(caplog):
+    """Guards against a volume that grows with the load."""
+    assert len(play(caplog, 400)) == 2
+
+
+def test_lines_a_second_are_bounded_and_the_rest_is_counted(caplog):
+    """Guards against a flood of lines while a service is down."""
+
+    def prepare(entry):
+        for target in entry.list_all_targets():
+            target.is_up = False
+
+    records = play(caplog, 1000, prepare, per_s=500)
+    assert len(records) <= 3 * 50
+    assert sum(record.left_out for record in records) > 400
