--- a/shallotgate/cli/_main.py
+++ b/shallotgate/cli/_main.py
@@ -12,6 +12,7 @@
 from shallotgate.cli._catalogue import CatalogueCommands, DomainCommands
 from shallotgate.cli._client import HttpClient, ServerUnreachableError
 from shallotgate.cli._exits import ExitCode
+from shallotgate.cli._explain import explain
 from shallotgate.cli._output import Output
 from shallotgate.cli._query import QueryCommand
 from shallotgate.cli._reads import ReadCommands, WriteCommands
@@ -107,4 +108,5 @@
         'status': reads.show_status,
         'control': {'replace': writes.replace_member},
         'settings': {'check': check_settings},
+        'explain': explain,
     }
