--- a/shallotgate/cli/_explain.py
+++ b/shallotgate/cli/_explain.py
@@ -17,7 +17,8 @@
     :param logs: Files with the output of instances.
     """
     lines = [line for path in logs for line in _find_lines(path, request_id)]
-    for line in sorted(lines, key=lambda each: str(each.get('time'))):
+    lines.sort(key=_read_time)
+    for line in lines:
         for text in _render(line):
             sys.stdout.write(f'{text}\n')
     if lines:
@@ -28,6 +29,10 @@
     return ExitCode.FAILED
 
 
+def _read_time(line: dict[str, Any]) -> str:
+    return str(line.get('time'))
+
+
 def _find_lines(path: Path, request_id: str) -> Iterator[dict[str, Any]]:
     for text in path.read_text(errors='replace').splitlines():
         start = text.find('{')
