Share out the rate that a cold target bears

Cause: the path to targets kept no warm-up rate; the sites at hand state none (0), others may. Change: each entry sends a cold target its share of the stated rate, the first request at a random moment.

--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -21,6 +21,9 @@
     pool: LinkPool
     # Monotonic time until which the target is cold.
     cold_until: float = 0
+    # Monotonic time from which this entry may send to it while it is cold;
+    # None before that was decided.
+    cold_next_at: float | None = None
     health: TargetHealth = field(default_factory=TargetHealth)
 
 
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -14,6 +14,7 @@
 from shallotgate.gateway._choice import TargetChooser
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import RecentLatency
+from shallotgate.gateway._warming import WarmUpGate
 from shallotgate.gateway._wire import Wire
 
 _MS_PER_S = 1000
@@ -49,6 +50,7 @@
     latency: RecentLatency
     # Links that this entry may have open to one target.
     max_links: int
+    warm_up: WarmUpGate
     on_event: Callable[[str], None]
 
 
@@ -128,16 +130,18 @@
 
     def _choose(self) -> Target | None:
         ports = self._ports
+        now = time.monotonic()
         usable = [
             target
             for target in ports.directory.list_usable(self._service)
             if len(target.health.in_flight) < ports.max_links
+            and ports.warm_up.allows(target, now)
         ]
         return ports.chooser.choose(
             usable,
             self._tried,
             ports.latency.quantile(0.5),
-            time.monotonic(),
+            now,
         )
 
     def _send(self, target: Target) -> None:
@@ -145,6 +149,7 @@
         now = time.monotonic()
         queue = target.health.read_queue(now)
         attempt = Attempt(ports.wire, self._call, target, self._note_reply)
+        ports.warm_up.note_sent(target, now)
         self._live[attempt.future] = attempt
         self._tried.append(target)
         self._sends += 1
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -15,9 +15,16 @@
 from shallotgate.gateway._gather import Gather, Gathered
 from shallotgate.gateway._latency import RecentLatency
 from shallotgate.gateway._report import RequestReporter
+from shallotgate.gateway._warming import WarmUpGate
 from shallotgate.gateway._wire import CallerRequest, Wire
 from shallotgate.logs import get_logger
-from shallotgate.routes import Route, RouteIndex, RoutingTable, SplitChooser
+from shallotgate.routes import (
+    Route,
+    RouteIndex,
+    RoutingTable,
+    Service,
+    SplitChooser,
+)
 
 _LOGGER = get_logger('gateway')
 _MS_PER_S = 1000
@@ -41,7 +48,7 @@
 
     table: RoutingTable
     index: RouteIndex
-    max_connections: dict[str, int]
+    services: dict[str, Service]
     splits: dict[str, SplitChooser]
 
 
@@ -101,7 +108,7 @@
         self._in_force = _InForce(
             table,
             RouteIndex(table),
-            {one.name: one.max_connections for one in table.services},
+            {service.name: service for service in table.services},
             splits,
         )
         _LOGGER.info(
@@ -173,20 +180,26 @@
     ) -> Callable[[str], Dispatch]:
         now = time.monotonic()
 
-        def make_dispatch(service: str) -> Dispatch:  # noqa: WPS430
-            budget = self._find_budget(service)
+        def make_dispatch(name: str) -> Dispatch:  # noqa: WPS430
+            budget = self._find_budget(name)
             budget.earn(now, self.entries)
-            links = in_force.max_connections[service] * _LINKS_PART
+            service = in_force.services[name]
+            links = service.max_connections * _LINKS_PART / self.entries
             ports = ServicePorts(
                 wire=self._wire,
                 directory=self._directory,
                 chooser=self._chooser,
                 budget=budget,
                 latency=self._find_latency(call.route),
-                max_links=max(int(links / max(self.entries, 1)), 1),
+                max_links=max(int(links), 1),
+                warm_up=WarmUpGate(
+                    service.warm_up_per_s,
+                    self.entries,
+                    self._generator,
+                ),
                 on_event=self._reporter.count,
             )
-            return Dispatch(ports, call, service)
+            return Dispatch(ports, call, name)
 
         return make_dispatch
 
--- a/shallotgate/node/_settings.py
+++ b/shallotgate/node/_settings.py
@@ -25,7 +25,7 @@
 def list_seeds(settings: NodeSettings) -> Sequence[str]:
     """Return the peer addresses of the seeds.
 
-    >>> settings = NodeSettings(name='a', domain='d', region='r',
+    >>> settings = NodeSettings(name='a', domain='d',
     ...     peer_address='10.0.0.1:7740', seeds=['10.0.0.2:8224'])
     >>> list_seeds(settings)
     ['10.0.0.2:7740']
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -36,6 +36,7 @@
         shards: int,
         copies: int = 3,
         slack: float = 100,
+        warm_up_per_s: float = 0,
         **route: object,
     ) -> None:
         self.directory = Directory()
@@ -65,7 +66,12 @@
             **route,
         }
         services = tuple(
-            Service(name, max_connections=_MAX_CONNECTIONS) for name in names
+            Service(
+                name,
+                max_connections=_MAX_CONNECTIONS,
+                warm_up_per_s=warm_up_per_s,
+            )
+            for name in names
         )
         only_route = Route('r', 'host', '/', **fields)  # type: ignore[arg-type]
         self.gateway.put_in_force(RoutingTable(1, (only_route,), services))
