Answer at the objective less the round trip that the kernel measured

Change: the round-trip time of each connection is read from the kernel, twice for the first request of a connection; 0.05 of the objective and 2 ms are left for the entry's own work. The test fails without it.

--- a/shallotgate/aio/_reader.py
+++ b/shallotgate/aio/_reader.py
@@ -33,6 +33,8 @@
         self._parser = httptools.HttpRequestParser(self)
         # Monotonic time of the first byte of an incomplete request.
         self.begun_at = float('inf')
+        # Time on the way of the next request and its answer, in seconds.
+        self.way_s: float = 0
         self._begin()
 
     def feed(self, received: bytes) -> None:
@@ -87,6 +89,7 @@
                 headers=self._headers,
                 body=b''.join(self._body),
                 received_at=time.monotonic(),
+                way_s=self.way_s,
             ),
         )
 
--- a/shallotgate/aio/_server.py
+++ b/shallotgate/aio/_server.py
@@ -11,6 +11,7 @@
 
 from shallotgate.aio._message import IncomingRequest, Response
 from shallotgate.aio._reader import RejectedError, RequestReader
+from shallotgate.aio._round_trip import read_round_trip_s
 from shallotgate.logs import get_logger
 
 _LOGGER = get_logger('http')
@@ -50,6 +51,7 @@
         self._arrived = asyncio.Event()
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
+        self._round_trip_s: float = 0
         self.is_busy = False
         # Monotonic time since which the connection has been without request.
         self._idle_since = time.monotonic()
@@ -63,6 +65,9 @@
         """Start the task of the connection."""
         # Transports of uvloop are no subclass of those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        self._round_trip_s = read_round_trip_s(transport)
+        # The first request came after the round trip that connected.
+        self._reader.way_s = self._round_trip_s * 2
         self._server.connections.add(self)
         self._task = asyncio.ensure_future(self._serve())
 
@@ -99,6 +104,7 @@
 
     def _enqueue(self, request: IncomingRequest) -> None:
         self._requests.append(request)
+        self._reader.way_s = self._round_trip_s
         self._arrived.set()
         if len(self._requests) >= _MAX_PIPELINED and self._transport:
             self._transport.pause_reading()
--- a/shallotgate/gateway/_calls.py
+++ b/shallotgate/gateway/_calls.py
@@ -20,6 +20,8 @@
     # Version of the table that the route is from.
     version: int
     received_at: float
+    # Time on the way to this entry and back, in seconds; 0 if unknown.
+    way_s: float
     # When the caller or the operator no longer wants an answer.
     deadline: float
     trace: RequestTrace = field(default_factory=RequestTrace)
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -158,6 +158,7 @@
             route=route,
             version=self.version,
             received_at=request.received_at,
+            way_s=request.way_s,
             deadline=request.received_at
             + patience_ms / _MS_PER_S
             - _ANSWER_MARGIN_S,
--- a/shallotgate/gateway/_gather.py
+++ b/shallotgate/gateway/_gather.py
@@ -12,8 +12,13 @@
 
 _RECORD_BYTES = 16
 _MS_PER_S = 1000
-# Share of the latency objective that is left for the way to the caller.
-_OBJECTIVE_MARGIN = 0.15
+# Share of the latency objective, and time in seconds, that are left for the
+# work of this entry at the end: merging and waiting for the processor.
+_OWN_SHARE = 0.05
+_OWN_S = 0.002
+# Share of the objective that is left for the way of request and answer if the
+# round-trip time is unknown.
+_WAY_SHARE = 0.1
 
 
 @dataclass(frozen=True)
@@ -79,9 +84,11 @@
         return self._conclude()
 
     async def _wait(self) -> None:
-        route = self._call.route
-        objective_s = route.objective_ms * (1 - _OBJECTIVE_MARGIN) / _MS_PER_S
-        cut_at = self._call.received_at + objective_s
+        call = self._call
+        objective_s = call.route.objective_ms / _MS_PER_S
+        way_s = call.way_s or objective_s * _WAY_SHARE
+        own_s = objective_s * _OWN_SHARE + _OWN_S
+        cut_at = call.received_at + objective_s - way_s - own_s
         if await self._wait_until(min(cut_at, self._call.deadline)):
             return
         self._is_late = True
--- a/shallotgate/gateway/tests/test_stragglers.py
+++ b/shallotgate/gateway/tests/test_stragglers.py
@@ -91,6 +91,21 @@
     assert 70 < duration_ms < 100
 
 
+def test_partial_answer_leaves_time_for_its_way_to_the_caller():
+    """Guards against answers that are late by less than a round trip."""
+
+    async def play():
+        entry = SimulatedEntry(shards=10, objective_ms=50)
+        await entry.ask_many(20, per_s=50)
+        for target in entry.targets['s3']:
+            target.work_s = 10
+        return await entry.ask('far away', way_s=0.013)
+
+    response, duration_ms = run_virtual(play())
+    assert response.status == 200
+    assert duration_ms + 13 < 50
+
+
 def test_fan_out_that_can_not_succeed_ends_at_once():
     """Guards against requests that are held until their deadline."""
 
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -76,12 +76,23 @@
         only_route = Route('r', 'host', '/', **fields)  # type: ignore[arg-type]
         self.gateway.put_in_force(RoutingTable(1, (only_route,), services))
 
-    async def ask(self, request_id: str) -> tuple[Response, float]:
+    async def ask(
+        self,
+        request_id: str,
+        way_s: float = 0,
+    ) -> tuple[Response, float]:
         """Return the answer and its time in milliseconds."""
         loop = asyncio.get_running_loop()
         begun_at = loop.time()
         response = await self.gateway.handle(
-            IncomingRequest(b'GET', b'/x', [], request_id.encode(), begun_at),
+            IncomingRequest(
+                method=b'GET',
+                path=b'/x',
+                headers=[],
+                body=request_id.encode(),
+                received_at=begun_at,
+                way_s=way_s,
+            ),
         )
         return response, (loop.time() - begun_at) * _MS_PER_S
 
