--- a/testkit/virtual.py
+++ b/testkit/virtual.py
@@ -39,6 +39,7 @@
 def run_virtual(main: Coroutine[Any, Any, _T]) -> _T:
     """Run a coroutine in virtual time; it must use no network or threads.
 
+    >>> import time
     >>> started = time.perf_counter()
     >>> run_virtual(asyncio.sleep(60, 'done'))
     'done'
@@ -51,4 +52,12 @@
         try:
             return loop.run_until_complete(main)
         finally:
+            _cancel_rest(loop)
             loop.close()
+
+
+def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
+    rest = asyncio.all_tasks(loop)
+    for task in rest:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*rest, return_exceptions=True))
