Forget a misdirected target until it is listed anew; drop state of gone routes

Cause, found by reading: a target that answered for another address came back with the next change of the list, and latencies and budgets of routes and services that are gone were kept for ever. The test of misdirected targets now changes the list afterwards; it failed before.

--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -78,11 +78,11 @@
 
     def forget_misdirected(self, target: Target) -> None:
         """Stop to use a target whose address belongs to another one now."""
-        if self._targets.get(target.listed.target) is target:
-            group = self._by_service.get(target.listed.service, [])
-            if target in group:
-                group.remove(target)
-            target.pool.close()
+        name = target.listed.target
+        if self._targets.get(name) is not target:
+            return
+        self._remove(name)
+        self._by_service[target.listed.service].remove(target)
 
     def _put(self, listed: ListedTarget) -> None:
         known = self._targets.get(listed.target)
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -2,8 +2,9 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from typing import TypeVar
 
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
@@ -27,6 +28,7 @@
 )
 
 _LOGGER = get_logger('gateway')
+_T = TypeVar('_T')
 _MS_PER_S = 1000
 # The answer leaves this much before the caller stops to wait, in seconds.
 _ANSWER_MARGIN_S = 0.01
@@ -97,27 +99,22 @@
         """Use a table if it is newer than the one in force."""
         if table.version <= self.version:
             return
-        former = self._in_force.splits if self._in_force else {}
-        splits = {}
-        for route in table.routes:
-            if len(route.choices) > 1:
-                splits[route.name] = SplitChooser(
-                    route,
-                    self._generator.random(),
-                )
-        self._in_force = _InForce(
-            table,
-            RouteIndex(table),
-            {service.name: service for service in table.services},
-            splits,
-        )
+        services = {service.name: service for service in table.services}
+        splits = {
+            route.name: SplitChooser(route, self._generator.random())
+            for route in table.routes
+            if len(route.choices) > 1
+        }
+        self._in_force = _InForce(table, RouteIndex(table), services, splits)
+        names = {route.name for route in table.routes}
+        self._budgets = _keep_known(self._budgets, services)
+        self._latencies = _keep_known(self._latencies, names)
         _LOGGER.info(
             'Table in force.',
             extra={
                 'version': table.version,
                 'routes': len(table.routes),
-                'splits': len(splits),
-                'former_splits': len(former),
+                'services': len(services),
             },
         )
 
@@ -247,3 +244,8 @@
         self._reporter.count('refused')
         retry_after_s = self._generator.uniform(_RETRY_MIN_S, _RETRY_MAX_S)
         return self._wire.refuse(503, retry_after_s)
+
+
+def _keep_known(former: dict[str, _T], known: Collection[str]) -> dict[str, _T]:
+    """Return what belongs to routes or services that still exist."""
+    return {name: one for name, one in former.items() if name in known}
--- a/shallotgate/gateway/tests/test_directory.py
+++ b/shallotgate/gateway/tests/test_directory.py
@@ -71,6 +71,8 @@
     target = directory.list_usable('s')[0]
     directory.forget_misdirected(target)
     assert list_names(directory) == ['t2']
+    update(directory, targets=[make_target('t3')])
+    assert list_names(directory) == ['t2', 't3']
 
 
 def test_full_list_drops_what_it_does_not_name(directory):
--- a/testkit/virtual.py
+++ b/testkit/virtual.py
@@ -52,12 +52,12 @@
         try:
             return loop.run_until_complete(main)
         finally:
-            _cancel_rest(loop)
+            loop.run_until_complete(_cancel_rest())
             loop.close()
 
 
-def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
-    rest = asyncio.all_tasks(loop)
+async def _cancel_rest() -> None:
+    rest = asyncio.all_tasks() - {asyncio.current_task()}
     for task in rest:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*rest, return_exceptions=True))
+    await asyncio.gather(*rest, return_exceptions=True)
