--- a/shallotgate/gateway/_gather.py
+++ b/shallotgate/gateway/_gather.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import heapq
+import math
 import time
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
@@ -12,6 +13,8 @@
 
 _RECORD_BYTES = 16
 _MS_PER_S = 1000
+# Error of a floating-point product that still counts as a whole number.
+_ROUNDING = 1e-9
 # Share of the latency objective, and time in seconds, that are left for the
 # work of this entry at the end: merging and waiting for the processor.
 _OWN_SHARE = 0.05
@@ -63,7 +66,10 @@
         shards = call.route.shards
         self._dispatches = [make_dispatch(shard) for shard in shards]
         self._parts: list[Outcome] = []
-        self._needed = call.route.min_coverage * len(shards)
+        # Parts that make an answer; the product of a share like 0.56 and 25
+        # lies a little above the whole number that it stands for.
+        share = call.route.min_coverage * len(shards)
+        self._needed = max(math.ceil(share - _ROUNDING), 1)
         self._open = len(shards)
         # Set when every shard has settled, when too few can still answer, or
         # when what is there suffices for a late answer.
@@ -110,13 +116,13 @@
         self._open -= 1
         if outcome.status == 'answered':
             self._parts.append(outcome)
-        is_hopeless = len(self._parts) + self._open < max(self._needed, 1)
+        is_hopeless = len(self._parts) + self._open < self._needed
         is_enough = self._is_late and self._suffices()
         if not self._open or is_hopeless or is_enough:
             self._settled.set()
 
     def _suffices(self) -> bool:
-        return len(self._parts) >= max(self._needed, 1)
+        return len(self._parts) >= self._needed
 
     def _conclude(self) -> Gathered:
         if self._suffices():
--- a/shallotgate/gateway/tests/test_stragglers.py
+++ b/shallotgate/gateway/tests/test_stragglers.py
@@ -135,3 +135,18 @@
         return entry.count_in_flight()
 
     assert run_virtual(play()) == 0
+
+
+def test_least_coverage_is_met_exactly():
+    """Guards against a part more than asked for: 0.56 * 25 is above 14."""
+
+    async def play():
+        entry = SimulatedEntry(shards=25, min_coverage=0.56)
+        for number in range(11):
+            for target in entry.targets[f's{number}']:
+                target.is_up = False
+        return await entry.ask('14 of 25 shards')
+
+    response, _ = run_virtual(play())
+    assert response.status == 200
+    assert read_missing(response) == 11
