--- a/shallotgate/consensus/_steward.py
+++ b/shallotgate/consensus/_membership.py
@@ -29,11 +29,13 @@
     changes = Changes(core, leader)
     core.notifier.subscribe(changes.follow_leadership)
     if core.times.self_governed:
-        core.notifier.subscribe(Steward(core, changes).follow_leadership)
+        core.notifier.subscribe(
+            MembershipManager(core, changes).follow_leadership
+        )
     return changes
 
 
-class Steward:
+class MembershipManager:
     """Keeps the group made of instances that run, while this member leads.
 
     An instance that asks to join becomes a member without a vote and gets
@@ -56,7 +58,7 @@
         threading.Thread(
             target=self._run,
             args=(leadership,),
-            name='steward',
+            name='membership',
             daemon=True,
         ).start()
 
--- a/shallotgate/consensus/_replicated_log.py
+++ b/shallotgate/consensus/_replicated_log.py
@@ -11,10 +11,10 @@
 from shallotgate.consensus._leader import Leader
 from shallotgate.consensus._leadership import Leadership, Proposal
 from shallotgate.consensus._machine import StateMachine
+from shallotgate.consensus._membership import make_changes
 from shallotgate.consensus._notifier import LeadershipCallback
 from shallotgate.consensus._reports import StatusReader
 from shallotgate.consensus._status import DamageReport, GroupStatus
-from shallotgate.consensus._steward import make_changes
 from shallotgate.consensus._times import ConsensusTimes
 from shallotgate.consensus._worker import exit_on_failed_sync
 from shallotgate.errors import DamagedFileError
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -14,9 +14,9 @@
 from shallotgate.node._metrics import make_metrics_server
 from shallotgate.node._settings import list_seeds
 from shallotgate.registry import (
-    FollowerDesk,
+    FollowerService,
     ListingReader,
-    OperatorDesk,
+    OperatorService,
     RegistryClient,
     RegistryState,
     TargetListing,
@@ -59,7 +59,7 @@
         settings: NodeSettings,
         codec: TableCodec,
         listing: TargetListing,
-        make_handler: Callable[[OperatorDesk], Handler],
+        make_handler: Callable[[OperatorService], Handler],
     ) -> None:
         self._metrics = Metrics()
         self._timers = TimerService()
@@ -93,7 +93,7 @@
             is_leading=self._log.is_leading,
         )
         self._client = RegistryClient(self._mailbox, self._log, state)
-        self._followers = FollowerDesk(
+        self._followers = FollowerService(
             mailbox=self._mailbox,
             log=self._log,
             state=state,
@@ -102,7 +102,7 @@
         )
         self._server = AsyncHttpServer(
             settings.operator_address,
-            make_handler(OperatorDesk(self._client, codec)),
+            make_handler(OperatorService(self._client, codec)),
             _make_order_limits,
         )
         self._metrics_server = make_metrics_server(
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -41,7 +41,7 @@
     since: float
 
 
-class FollowerDesk:
+class FollowerService:
     """Answers the entries that follow this member."""
 
     def __init__(
--- a/shallotgate/registry/_desk.py
+++ b/shallotgate/registry/_operators.py
@@ -28,7 +28,7 @@
 _IN_DOUBT = Verdict('in_doubt')
 
 
-class OperatorDesk:
+class OperatorService:
     """Checks and commits orders; calls wait and belong on a thread."""
 
     def __init__(self, client: RegistryClient, codec: TableCodec) -> None:
