Let entries share what they see of targets through the leader

Cause: with 59 entries or more each one meets a target every few seconds, so each learned alone, and late, which targets are slow or fail. Change: entries tell the leader the sums of their replies by target; the leader judges each target over all entries and tells all which are slow or fail. The leader looks at held requests again only after a change.

--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -96,12 +96,12 @@
         if error is None:
             self._note_reply(future.result(), duration_ms)
         elif isinstance(error, TargetConnectError):
-            health.note_connect_failure()
+            self.target.note_connect_failure()
         elif self._is_cut:
             # The reply would have taken at least this long.
             self._on_reply(self, duration_ms)
         elif isinstance(error, TargetError):
-            health.note_failure()
+            self.target.note_failure()
         if self._link is not None:
             self.target.pool.give_back(self._link)
 
@@ -113,4 +113,4 @@
         if facts.signature and reply.status < 300:
             self._on_reply(self, duration_ms)
         else:
-            health.note_failure()
+            self.target.note_failure()
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -6,11 +6,18 @@
 
 from shallotgate.gateway._health import TargetHealth
 from shallotgate.gateway._pool import LinkPool
-from shallotgate.generated.messages import ListedTarget, ListingUpdate
+from shallotgate.gateway._sums import ReplySums
+from shallotgate.generated.messages import (
+    ListedTarget,
+    ListingUpdate,
+    TargetConditions,
+)
 from shallotgate.logs import get_logger
 
 _LOGGER = get_logger('directory')
 _MS_PER_S = 1000
+# Usual times below this are taken as this, in milliseconds.
+_MIN_PEERS_MS = 0.1
 
 
 @dataclass(eq=False)
@@ -19,6 +26,8 @@
 
     listed: ListedTarget
     pool: LinkPool
+    # Collects what the replies show, for the leader.
+    sums: ReplySums
     # Monotonic time until which the target is cold.
     cold_until: float = 0
     # Monotonic time from which this entry may send to it while it is cold;
@@ -26,6 +35,22 @@
     cold_next_at: float | None = None
     health: TargetHealth = field(default_factory=TargetHealth)
 
+    def note_reply(self, duration_ms: float, peers_ms: float) -> None:
+        """Take up the time of a reply and that of its peers' replies."""
+        slowness = duration_ms / max(peers_ms, _MIN_PEERS_MS)
+        self.health.note_reply(slowness)
+        self.sums.add_reply(self.listed.target, slowness)
+
+    def note_failure(self) -> None:
+        """Take up that a request failed or was turned away."""
+        self.health.note_failure()
+        self.sums.add_failure(self.listed.target)
+
+    def note_connect_failure(self) -> None:
+        """Take up that no connection could be opened."""
+        self.health.note_connect_failure()
+        self.sums.add_failure(self.listed.target)
+
 
 class Directory:
     """Targets by service, as the leader last told."""
@@ -35,6 +60,11 @@
         self.revision = -1
         self.domains_out: frozenset[str] = frozenset()
         self.domains_revision = -1
+        self.sums = ReplySums()
+        # Revision of the conditions that the leader told; -1 without any.
+        self.conditions_revision = -1
+        # Targets that the leader said are not well.
+        self._unwell: list[Target] = []
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
 
@@ -58,6 +88,31 @@
             extra={'revision': revision, 'out': sorted(self.domains_out)},
         )
 
+    def list_unwell(self) -> Sequence[Target]:
+        """Return the targets that the leader said are not well."""
+        return tuple(self._unwell)
+
+    def take_conditions(self, conditions: TargetConditions | None) -> None:
+        """Take up which targets are not well; None if that is unchanged."""
+        if conditions is None:
+            for target in self._unwell:
+                target.health.confirm_shared()
+            return
+        self.conditions_revision = conditions.revision
+        for target in self._unwell:
+            target.health.forget_shared()
+        self._unwell = []
+        for name, factor, failures in zip(
+            conditions.targets,
+            conditions.factors,
+            conditions.failures,
+            strict=True,
+        ):
+            target_or_none = self._targets.get(name)
+            if target_or_none is not None:
+                target_or_none.health.note_shared(factor, failures)
+                self._unwell.append(target_or_none)
+
     def update(self, update: ListingUpdate) -> None:
         """Take up a new list or its changes."""
         if update.full:
@@ -91,7 +146,12 @@
             if known is not None:
                 known.pool.close()
             pool = LinkPool(listed.address)
-            self._targets[listed.target] = Target(listed, pool, cold_until)
+            self._targets[listed.target] = Target(
+                listed,
+                pool,
+                self.sums,
+                cold_until,
+            )
             _LOGGER.info('Target listed.', extra=_describe(listed))
             return
         if known.listed.leaving != listed.leaving:
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -170,7 +170,7 @@
 
     def _note_reply(self, attempt: Attempt, duration_ms: float) -> None:
         latency = self._ports.latency
-        attempt.target.health.note_reply(duration_ms, latency.quantile(0.5))
+        attempt.target.note_reply(duration_ms, latency.quantile(0.5))
         latency.add(duration_ms)
 
     def _take(self, future: 'asyncio.Future[Reply]') -> Outcome | None:
--- a/shallotgate/gateway/_health.py
+++ b/shallotgate/gateway/_health.py
@@ -17,6 +17,9 @@
 # Pause after a failed connection, doubled with each further one, in seconds.
 _DOWN_MIN_S = 0.25
 _DOWN_MAX_S = 2.0
+# What the leader told holds this many seconds after it was last heard: it
+# answers each 0.8 s at least, and an election takes about as long.
+_SHARED_VALID_S = 3.0
 # Range of the speed factor that is believed.
 _MAX_FACTOR = 50.0
 
@@ -35,16 +38,22 @@
         self._own_at_load = 0
         self._failed_connects = 0
         self._down_until = float('-inf')
+        # What all entries together see, and until when that holds.
+        self._shared_factor: float = 1
+        self._shared_failures: float = 0
+        self._shared_until = float('-inf')
         # Monotonic send times of the attempts under way, oldest first.
         self.in_flight: dict[object, float] = {}
 
     def read_factor(self, now: float) -> float:
         """Return how many times as long as its peers it takes."""
-        return 1 + (self._factor - 1) * self._fade(now)
+        own = self._read_own_factor(now)
+        return max(own, self._shared_factor) if self._is_told(now) else own
 
     def read_failures(self, now: float) -> float:
         """Return the share of failed replies, 0 to 1."""
-        return self._failures * self._fade(now)
+        own = self._failures * self._fade(now)
+        return max(own, self._shared_failures) if self._is_told(now) else own
 
     def read_queue(self, now: float) -> float:
         """Return how many requests are at the target."""
@@ -64,21 +73,21 @@
         """Return whether connecting failed a short time ago."""
         return now < self._down_until
 
-    def note_reply(self, duration_ms: float, peers_ms: float) -> None:
-        """Take up the time of a reply and that of its peers' replies."""
+    def note_reply(self, factor: float) -> None:
+        """Take up how many times as long as its peers a reply took."""
         now = time.monotonic()
-        factor = min(duration_ms / max(peers_ms, 0.1), _MAX_FACTOR)
-        former = self.read_factor(now)
-        self._factor = former + (factor - former) * _NEWEST_PART
-        self._failures = self.read_failures(now) * (1 - _NEWEST_PART)
+        former = self._read_own_factor(now)
+        newest = min(factor, _MAX_FACTOR)
+        self._factor = former + (newest - former) * _NEWEST_PART
+        self._failures *= self._fade(now) * (1 - _NEWEST_PART)
         self._observed_at = now
         self._failed_connects = 0
 
     def note_failure(self) -> None:
         """Take up that a request failed or was turned away."""
         now = time.monotonic()
-        factor = self.read_factor(now)
-        failures = self.read_failures(now)
+        factor = self._read_own_factor(now)
+        failures = self._failures * self._fade(now)
         self._failures = failures + (1 - failures) * _NEWEST_PART
         self._factor = factor
         self._observed_at = now
@@ -96,5 +105,25 @@
         self._load_at = time.monotonic()
         self._own_at_load = len(self.in_flight)
 
+    def note_shared(self, factor: float, failures: float) -> None:
+        """Take up what all entries together see of the target."""
+        self._shared_factor = factor
+        self._shared_failures = failures
+        self.confirm_shared()
+
+    def confirm_shared(self) -> None:
+        """Note that the leader still tells the same."""
+        self._shared_until = time.monotonic() + _SHARED_VALID_S
+
+    def forget_shared(self) -> None:
+        """Note that the leader no longer tells of the target."""
+        self._shared_until = float('-inf')
+
+    def _is_told(self, now: float) -> bool:
+        return now < self._shared_until
+
+    def _read_own_factor(self, now: float) -> float:
+        return 1 + (self._factor - 1) * self._fade(now)
+
     def _fade(self, now: float) -> float:
         return math.exp((self._observed_at - now) / _MEMORY_S)
--- /dev/null
+++ b/shallotgate/gateway/tests/test_many_entries.py
@@ -0,0 +1,72 @@
+"""Load pattern: many entries with few requests each, and slow targets.
+
+With 120 entries and 30 queries a second each entry has a query each 4 s, so
+that none can judge targets by its own replies. No network is used.
+"""
+
+import asyncio
+
+from testkit.gateway import SimulatedTier
+from testkit.virtual import run_virtual
+
+ENTRIES = 120
+SHARDS = 20
+PER_S = 30
+
+
+def play_slow(is_shared):
+    """Return answers, and how often slow targets were asked after 1 s."""
+
+    async def play():
+        tier = SimulatedTier(ENTRIES, shards=SHARDS, objective_ms=60)
+        sharing = asyncio.ensure_future(tier.share()) if is_shared else None
+        await tier.ask_many(PER_S * 5, PER_S)
+        slow = [targets[0] for targets in tier.targets.values()]
+        for target in slow[::2]:
+            target.work_s = 0.1
+        answers = await tier.ask_many(PER_S, PER_S)
+        before = sum(len(one.arrived) for one in slow[::2])
+        answers += await tier.ask_many(PER_S * 5, PER_S)
+        if sharing is not None:
+            sharing.cancel()
+        return answers, sum(len(one.arrived) for one in slow[::2]) - before
+
+    return run_virtual(play())
+
+
+def test_slow_targets_that_others_saw_are_avoided():
+    """Guards against entries that each learn alone which targets are slow."""
+    _, alone = play_slow(is_shared=False)
+    answers, shared = play_slow(is_shared=True)
+    assert shared < alone / 2
+    in_time = [duration for _, duration in answers if duration < 60]
+    assert len(in_time) > 0.95 * len(answers)
+
+
+def test_targets_that_pause_by_turns_are_not_called_slow():
+    """Guards against work that leaves each target after each short pause."""
+
+    async def pause(tier):
+        loop = asyncio.get_running_loop()
+        targets = tier.list_all_targets()
+        while True:
+            for target in targets:
+                target.paused_until = loop.time() + 0.1
+                await asyncio.sleep(2.4 / len(targets))
+
+    async def play():
+        tier = SimulatedTier(ENTRIES, shards=SHARDS)
+        running = [
+            asyncio.ensure_future(tier.share()),
+            asyncio.ensure_future(pause(tier)),
+        ]
+        told = []
+        for _ in range(8):
+            await tier.ask_many(PER_S, PER_S)
+            told.append(len(tier.entries[0].directory.list_unwell()))
+        for task in running:
+            task.cancel()
+        return told
+
+    told = run_virtual(play())
+    assert max(told) <= 0.1 * SHARDS * 3
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -139,6 +139,8 @@
             listing_source=self._directory.source,
             listing_revision=self._directory.revision,
             leaving=self._is_leaving,
+            observed=self._directory.sums.take(),
+            conditions_revision=self._directory.conditions_revision,
         )
 
     def _apply_in_loop(
@@ -168,5 +170,6 @@
             )
         if update.listing is not None:
             self._directory.update(update.listing)
+        self._directory.take_conditions(update.conditions)
         if table is not None:
             self._gateway.put_in_force(table)
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -1,5 +1,6 @@
 """Tells entries what changed, as the leader."""
 
+import random
 import threading
 import time
 import zlib
@@ -15,6 +16,7 @@
     TierUpdate,
 )
 from shallotgate.logs import get_logger
+from shallotgate.registry._conditions import ConditionBoard
 from shallotgate.registry._listing import ListingReader
 from shallotgate.registry._state import Registry, RegistryState
 from shallotgate.transport import Delivery, Mailbox
@@ -30,15 +32,20 @@
 _LOOK_S = 0.05
 # An entry counts for this many seconds after its last request.
 _ENTRY_VALID_S = 6.0
+# Revisions of conditions begin at a number of this many bits, so that those of
+# different leaders are never equal.
+_REVISION_BITS = 48
 # Documents kept as dictionaries for those who hold them.
 _MAX_DOCUMENTS = 8
 
 
-@dataclass(frozen=True)
+@dataclass
 class _Held:
     delivery: Delivery
     # Monotonic time of arrival.
     since: float
+    # Count of changes up to which there was no news; -1 before the first look.
+    looked_at: int = -1
 
 
 class FollowerService:
@@ -62,6 +69,9 @@
         self._heard: dict[str, float] = {}
         self._documents: OrderedDict[int, bytes] = OrderedDict()
         self._changed = threading.Condition()
+        # Counts what may be news for a follower.
+        self._changes = 0
+        self._conditions = ConditionBoard(random.getrandbits(_REVISION_BITS))
         self._is_stopped = False
         self._thread = threading.Thread(
             target=self._run,
@@ -96,33 +106,56 @@
                 self._heard[delivery.sender] = now
             self._held[delivery.sender] = _Held(delivery, now)
             self._changed.notify_all()
+        if delivery.message.observed is not None:
+            self._conditions.take(delivery.message.observed, now)
 
     def _on_leadership(self, is_leading: bool) -> None:
         self._wake()
 
     def _wake(self) -> None:
         with self._changed:
+            self._changes += 1
             self._changed.notify_all()
 
     def _run(self) -> None:
         while not self._is_stopped:
             with self._changed:
-                held = list(self._held.values())
-                self._changed.wait(_LOOK_S if held else None)
-                held = list(self._held.values())
-            for one in held:
+                self._changed.wait(_LOOK_S if self._held else None)
+            if self._conditions.publish(time.monotonic()):
+                self._wake()
+            with self._changed:
+                due = self._list_due(time.monotonic())
+            for held in due:
                 try:
-                    self._try_answer(one)
+                    self._try_answer(held)
                 except Exception:
                     _LOGGER.exception('A follower was not answered.')
-                    self._drop(one)
+                    self._drop(held)
+
+    def _list_due(self, now: float) -> list[_Held]:
+        """Return the requests that may have an answer now."""
+        if not self._log.is_leading():
+            return list(self._held.values())
+        due = [
+            held
+            for held in self._held.values()
+            if held.looked_at != self._changes or now - held.since > _HOLD_S
+        ]
+        for held in due:
+            held.looked_at = self._changes
+        return due
 
     def _try_answer(self, held: _Held) -> None:
         if not self._log.is_leading():
             self._turn_away(held)
             return
         update = self._make_update(held.delivery.message)
-        has_news = update.table or update.domains or update.listing
+        has_news = (
+            update.table
+            or update.domains
+            or update.listing
+            or update.conditions
+        )
         if has_news or time.monotonic() - held.since > _HOLD_S:
             self._drop(held)
             self._mailbox.reply(held.delivery, update)
@@ -165,6 +198,9 @@
                 message.listing_source,
                 message.listing_revision,
             ),
+            conditions=self._conditions.make_update(
+                message.conditions_revision,
+            ),
         )
 
     def _make_table(
--- a/testkit/gateway/__init__.py
+++ b/testkit/gateway/__init__.py
@@ -2,5 +2,6 @@
 
 from testkit.gateway._simulation import SimulatedEntry
 from testkit.gateway._targets import SimulatedTarget
+from testkit.gateway._tier import SimulatedTier
 
-__all__ = ('SimulatedEntry', 'SimulatedTarget')
+__all__ = ('SimulatedEntry', 'SimulatedTarget', 'SimulatedTier')
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping, Sequence
 
 from shallotgate.aio import IncomingRequest, Response
 from shallotgate.gateway import (
@@ -17,7 +18,8 @@
 from testkit.gateway._targets import SimulatedPool, SimulatedTarget
 
 _MS_PER_S = 1000
-_DOMAINS = 'abc'
+# Failure domains of targets, in turn.
+DOMAINS = 'abc'
 _SEED = 7
 _ALLOWED_RATIO = 0.2
 _WINDOW_S = 10
@@ -37,19 +39,23 @@
         copies: int = 3,
         slack: float = 100,
         warm_up_per_s: float = 0,
+        seed: int = _SEED,
+        domain: str = DOMAINS[0],
+        targets: Mapping[str, Sequence[SimulatedTarget]] | None = None,
         **route: object,
     ) -> None:
+        """``targets`` are those of other entries, by service."""
         self.directory = Directory()
         self.gateway = Gateway(
             wire=PlainWire(),
             directory=self.directory,
-            domain=_DOMAINS[0],
+            domain=domain,
             allowance=ExtraAllowance(_ALLOWED_RATIO, slack, _WINDOW_S),
-            generator=random.Random(_SEED),  # noqa: S311 - no secret
+            generator=random.Random(seed),  # noqa: S311 - no secret
             reporter=RequestReporter(Metrics()),
         )
         names = tuple(f's{number}' for number in range(shards))
-        self.targets = {
+        self.targets = targets or {
             name: [SimulatedTarget(f'{name}-{copy}') for copy in range(copies)]
             for name in names
         }
@@ -126,7 +132,7 @@
                 target=target.name,
                 service=service,
                 address=target.name,
-                domain=_DOMAINS[number % len(_DOMAINS)],
+                domain=DOMAINS[number % len(DOMAINS)],
                 slots=target.slots,
             )
             for service, targets in self.targets.items()
