Save up more of the budget for second attempts in tiers of many entries

Cause: with 59 entries each one could save a single second attempt a service, and got the next one after 4 s; 424 of 810 second attempts of incomplete answers were denied, while the services bear several times what was spent. The first queries of an entry also spent it on all shards at once, because the assumed time of a reply left out the opening of connections. Change: 0.6 of the slack can be saved up, 0.25 is there at the start and 0.1 flows in a window; the former bound holds, with one restart of all entries. Second attempts wait up to twice as long while over 0.4 of the shards lack.

--- a/shallotgate/gateway/_budget.py
+++ b/shallotgate/gateway/_budget.py
@@ -5,11 +5,12 @@
 # Part of the ratio that is used: requests that are counted by this entry may
 # reach the service a little later.
 _RATIO_PART = 0.8
-# Part of the slack that all entries together may have saved up. A restarted
-# entry has its part once more, so twice this may be spent in a window.
-_SAVED_PART = 0.25
-# Part of the slack that flows to all entries together in a window.
-_FLOW_PART = 0.4
+# Parts of the slack: what all entries together may have saved up, what they
+# have right after a start, and what flows to them in a window. If all restart
+# once, the sum of the three may be spent in one window.
+_SAVED_PART = 0.6
+_INITIAL_PART = 0.25
+_FLOW_PART = 0.1
 
 
 @dataclass(frozen=True)
@@ -28,8 +29,8 @@
     """This entry's share of the extra attempts on one service.
 
     Each request adds the ratio, and time adds this entry's share of the
-    slack. A part of the share is there from the start and can be saved up, so
-    that the first requests have second attempts too. Spending in any window
+    slack. A part of the share is there from the start, so that the first
+    requests have second attempts too. Spending in any window
     stays within the ratio of its requests and the slack, also if all entries
     restart once in it, as long as the slack is larger than the number of
     entries.
@@ -54,7 +55,7 @@
         # At least one whole attempt, or a small share could never be used.
         saved = max(share * _SAVED_PART, 1)
         if self._filled_at is None:
-            self._tokens = saved
+            self._tokens = max(share * _INITIAL_PART, 1)
             self._filled_at = now
         elapsed = (now - self._filled_at) / allowance.window_s
         self._filled_at = now
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -24,6 +24,9 @@
 # recent replies, times the factor.
 _HEDGE_QUANTILE = 0.9
 _HEDGE_FACTOR = 1.3
+# If ``may_hedge`` says no, a second attempt starts after this multiple of the
+# wait: later it would not be back before most objectives.
+_HEDGE_PATIENCE = 2.0
 # Least wait for a second attempt, in milliseconds: timers are no finer.
 _HEDGE_MIN_MS = 3.0
 
@@ -57,8 +60,16 @@
 class Dispatch:
     """One request on one service; ``run`` is called once."""
 
-    def __init__(self, ports: ServicePorts, call: Call, service: str) -> None:
+    def __init__(
+        self,
+        ports: ServicePorts,
+        call: Call,
+        service: str,
+        may_hedge: Callable[[], bool],
+    ) -> None:
+        """``may_hedge`` is asked before a second attempt that runs beside."""
         self._ports = ports
+        self._may_hedge = may_hedge
         self._call = call
         self._service = service
         self._live: dict[asyncio.Future[Reply], Attempt] = {}
@@ -68,6 +79,8 @@
         self._runs = 0
         self._failure: Reply | None = None
         self._hedge_at = float('inf')
+        # From this moment on a second attempt needs no further sign.
+        self._hedge_by = float('inf')
 
     @property
     def may_have_run(self) -> bool:
@@ -105,11 +118,19 @@
         if done and not self._live:
             self._try_send()
         elif not done and time.monotonic() >= self._hedge_at:
-            self._hedge_at = float('inf')
-            if self._call.route.is_repeatable:
-                self._try_send()
+            self._hedge()
         return None
 
+    def _hedge(self) -> None:
+        """Start a second attempt beside the first if that is sensible."""
+        if not self._call.route.is_repeatable:
+            self._hedge_at = float('inf')
+        elif self._may_hedge() or time.monotonic() >= self._hedge_by:
+            self._hedge_at = float('inf')
+            self._try_send()
+        else:
+            self._hedge_at = time.monotonic() + _HEDGE_MIN_MS / _MS_PER_S
+
     def _try_send(self) -> bool:
         """Start another attempt if target, budget and route allow it."""
         route = self._call.route
@@ -167,6 +188,7 @@
             _HEDGE_MIN_MS,
         )
         self._hedge_at = now + wait_ms / _MS_PER_S
+        self._hedge_by = now + wait_ms / _MS_PER_S * _HEDGE_PATIENCE
 
     def _note_reply(self, attempt: Attempt, duration_ms: float) -> None:
         latency = self._ports.latency
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -13,7 +13,7 @@
 from shallotgate.gateway._choice import TargetChooser
 from shallotgate.gateway._directory import Directory
 from shallotgate.gateway._dispatch import Dispatch, Outcome, ServicePorts
-from shallotgate.gateway._gather import Gather, Gathered
+from shallotgate.gateway._gather import DispatchMaker, Gather, Gathered
 from shallotgate.gateway._latency import RecentLatency
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._warming import WarmUpGate
@@ -40,8 +40,9 @@
 _RETRY_UNREADY_S = 0.5
 # Part of the connections of a target that all entries together use.
 _LINKS_PART = 0.8
-# Assumed time of a reply before any is known, as a share of the objective.
-_INITIAL_SHARE = 0.15
+# Assumed time of a reply before any is known, as a share of the objective. The
+# first replies of an entry wait for connections too.
+_INITIAL_SHARE = 0.25
 
 
 @dataclass(frozen=True)
@@ -168,17 +169,20 @@
             return self._answer_gathered(call, gathered)
         split = in_force.splits.get(call.route.name)
         service = split.choose() if split else call.route.choices[0].service
-        outcome = await make_dispatch(service).run()
+        outcome = await make_dispatch(service, _always).run()
         return self._answer_single(call, outcome)
 
     def _prepare(
         self,
         call: Call,
         in_force: _InForce,
-    ) -> Callable[[str], Dispatch]:
+    ) -> DispatchMaker:
         now = time.monotonic()
 
-        def make_dispatch(name: str) -> Dispatch:  # noqa: WPS430
+        def make_dispatch(  # noqa: WPS430
+            name: str,
+            may_hedge: Callable[[], bool],
+        ) -> Dispatch:
             budget = self._find_budget(name)
             budget.earn(now, self.entries)
             service = in_force.services[name]
@@ -197,7 +201,7 @@
                 ),
                 on_event=self._reporter.count,
             )
-            return Dispatch(ports, call, name)
+            return Dispatch(ports, call, name, may_hedge)
 
         return make_dispatch
 
@@ -249,3 +253,7 @@
 def _keep_known(former: dict[str, _T], known: Collection[str]) -> dict[str, _T]:
     """Return what belongs to routes or services that still exist."""
     return {name: one for name, one in former.items() if name in known}
+
+
+def _always() -> bool:
+    return True
--- a/shallotgate/gateway/_gather.py
+++ b/shallotgate/gateway/_gather.py
@@ -12,6 +12,10 @@
 from shallotgate.gateway._dispatch import Dispatch, Outcome
 
 _RECORD_BYTES = 16
+# Second attempts start when at most this share of the shards lack. If more do,
+# the cause is common to them, like the start of this entry or a busy
+# processor, and second attempts would spend the budget for nothing.
+_MAX_HEDGED_SHARE = 0.4
 _MS_PER_S = 1000
 # Error of a floating-point product that still counts as a whole number.
 _ROUNDING = 1e-9
@@ -24,6 +28,11 @@
 _WAY_SHARE = 0.1
 
 
+# Makes the part of a request on one service; the second argument tells whether
+# it may be sent a second time while the first attempt is under way.
+DispatchMaker = Callable[[str, Callable[[], bool]], Dispatch]
+
+
 @dataclass(frozen=True)
 class Gathered:
     """Parts of an answer, or why there is none."""
@@ -60,11 +69,13 @@
     def __init__(
         self,
         call: Call,
-        make_dispatch: Callable[[str], Dispatch],
+        make_dispatch: DispatchMaker,
     ) -> None:
         self._call = call
         shards = call.route.shards
-        self._dispatches = [make_dispatch(shard) for shard in shards]
+        self._dispatches = [
+            make_dispatch(shard, self._may_hedge) for shard in shards
+        ]
         self._parts: list[Outcome] = []
         # Parts that make an answer; the product of a share like 0.56 and 25
         # lies a little above the whole number that it stands for.
@@ -121,6 +132,10 @@
         if not self._open or is_hopeless or is_enough:
             self._settled.set()
 
+    def _may_hedge(self) -> bool:
+        """Return whether so few shards lack that targets are the cause."""
+        return self._open <= len(self._dispatches) * _MAX_HEDGED_SHARE
+
     def _suffices(self) -> bool:
         return len(self._parts) >= self._needed
 
--- a/shallotgate/gateway/tests/test_many_entries.py
+++ b/shallotgate/gateway/tests/test_many_entries.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 
 from testkit.gateway import SimulatedTier
 from testkit.virtual import run_virtual
@@ -70,3 +71,37 @@
 
     told = run_virtual(play())
     assert max(told) <= 0.1 * SHARDS * 3
+
+
+def test_second_attempts_last_while_each_entry_has_few_requests():
+    """Guards against a budget that one second attempt uses up for seconds.
+
+    The tier as a whole has several times the budget that it needs.
+    """
+
+    async def pause(tier):
+        loop = asyncio.get_running_loop()
+        targets = tier.list_all_targets()
+        # The copies of a shard do not pause one right after the other.
+        random.Random(ENTRIES).shuffle(targets)
+        while True:
+            for target in targets:
+                target.paused_until = loop.time() + 0.1
+                await asyncio.sleep(2.4 / len(targets))
+
+    async def play():
+        tier = SimulatedTier(
+            59,
+            shards=36,
+            slack=158,
+            objective_ms=80,
+            min_coverage=0.9,
+        )
+        pausing = asyncio.ensure_future(pause(tier))
+        answers = await tier.ask_many(600, per_s=60)
+        pausing.cancel()
+        return answers
+
+    answers = run_virtual(play())
+    missing = [int(dict(one.headers).get(b'missing', 99)) for one, _ in answers]
+    assert missing.count(0) > 0.95 * len(answers)
