Start second attempts after 2.2 medians at the latest

Cause: while 15 of 100 targets are slow, the 0.9 quantile of replies is the time of a slow target, so second attempts began at 30 ms of 57 ms. Change: the wait is at most 2.2 medians.

--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -24,6 +24,9 @@
 # recent replies, times the factor.
 _HEDGE_QUANTILE = 0.9
 _HEDGE_FACTOR = 1.3
+# It starts after this many medians at the latest: where a tenth of the targets
+# or more are slow, the quantile above is the time of a slow one.
+_HEDGE_MEDIANS = 2.2
 # If ``may_hedge`` says no, a second attempt starts after this multiple of the
 # wait: later it would not be back before most objectives.
 _HEDGE_PATIENCE = 2.0
@@ -183,10 +186,12 @@
             factor=round(target.health.read_factor(now), 1),
         )
         ports.on_event('sent' if self._sends == 1 else 'sent_again')
-        wait_ms = max(
-            ports.latency.quantile(_HEDGE_QUANTILE) * _HEDGE_FACTOR,
-            _HEDGE_MIN_MS,
+        latency = ports.latency
+        wait_ms = min(
+            latency.quantile(_HEDGE_QUANTILE) * _HEDGE_FACTOR,
+            latency.quantile(0.5) * _HEDGE_MEDIANS,
         )
+        wait_ms = max(wait_ms, _HEDGE_MIN_MS)
         self._hedge_at = now + wait_ms / _MS_PER_S
         self._hedge_by = now + wait_ms / _MS_PER_S * _HEDGE_PATIENCE
 
