Close idle links to targets that have no room for one of each entry

Cause: 84 entries kept a link each to targets that take 74. While the other copies of a shard were slow, failed or gone, all entries turned to one copy; 1,164 connections were reset, each with the request on it. Change: if a target takes fewer links than there are entries, a link to a copy outside the own failure domain is closed after it was idle for 1 s. The test without network fails without it.

--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -29,7 +29,9 @@
         call: Call,
         target: Target,
         on_reply: Callable[['Attempt', float], None],
+        keep_link_s: float | None,
     ) -> None:
+        """Start it; its link is kept idle for a time, None without limit."""
         self.target = target
         self.started_at = time.monotonic()
         # Whether the target may have seen the request.
@@ -37,6 +39,7 @@
         self._wire = wire
         self._call = call
         self._on_reply = on_reply
+        self._keep_link_s = keep_link_s
         self._link: TargetLink | None = None
         self._is_cut = False
         # What the reply says; None before it has come.
@@ -111,7 +114,7 @@
         elif isinstance(error, TargetError):
             self.target.note_failure()
         if self._link is not None:
-            self.target.pool.give_back(self._link)
+            self.target.pool.give_back(self._link, self._keep_link_s)
 
     def _note_reply(self, reply: Reply, duration_ms: float) -> None:
         health = self.target.health
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -27,6 +27,11 @@
 # It starts after this many medians at the latest: where a tenth of the targets
 # or more are slow, the quantile above is the time of a slow one.
 _HEDGE_MEDIANS = 2.2
+# Idle time after which a link is closed, in seconds, to a target that has no
+# room for a link of each entry and is not the first choice of this one. The
+# links of entries that all turn to one target stay few, and a link still
+# serves several requests in a row.
+_SPARE_LINK_S = 1.0
 # If ``may_hedge`` says no, a second attempt starts after this multiple of the
 # wait: later it would not be back before most objectives.
 _HEDGE_PATIENCE = 2.0
@@ -54,8 +59,12 @@
     budget: ExtraBudget
     # Recent replies to the route.
     latency: RecentLatency
+    # Failure domain of this entry.
+    domain: str
     # Links that this entry may have open to one target.
     max_links: int
+    # Whether a target takes fewer links than there are entries.
+    are_links_scarce: bool
     warm_up: WarmUpGate
     on_event: Callable[[str], None]
 
@@ -152,13 +161,15 @@
 
     def _hedge(self) -> None:
         """Start a second attempt beside the first if that is sensible."""
-        if not self._call.route.is_repeatable:
-            self._hedge_at = float('inf')
-        elif self._may_hedge() or time.monotonic() >= self._hedge_by:
-            self._hedge_at = float('inf')
+        now = time.monotonic()
+        is_repeatable = self._call.route.is_repeatable
+        if is_repeatable and now < self._hedge_by and not self._may_hedge():
+            # Asked again a little later.
+            self._hedge_at = now + _HEDGE_MIN_MS / _MS_PER_S
+            return
+        self._hedge_at = float('inf')
+        if is_repeatable:
             self._try_send()
-        else:
-            self._hedge_at = time.monotonic() + _HEDGE_MIN_MS / _MS_PER_S
 
     def _try_send(self) -> bool:
         """Start another attempt if target, budget and route allow it."""
@@ -198,7 +209,13 @@
         ports = self._ports
         now = time.monotonic()
         queue = target.health.read_queue(now)
-        attempt = Attempt(ports.wire, self._call, target, self._note_reply)
+        attempt = Attempt(
+            ports.wire,
+            self._call,
+            target,
+            self._note_reply,
+            _SPARE_LINK_S if self._is_spare(target) else None,
+        )
         ports.warm_up.note_sent(target, now)
         self._live[attempt.future] = attempt
         attempt.future.add_done_callback(self._note_settled)
@@ -222,6 +239,18 @@
         self._hedge_at = now + wait_ms / _MS_PER_S
         self._hedge_by = now + wait_ms / _MS_PER_S * _HEDGE_PATIENCE
 
+    def _is_spare(self, target: Target) -> bool:
+        """Return whether the target has no room for a link of each entry.
+
+        Links to the targets of the own domain, which are asked first, are
+        kept in any case.
+        """
+        ports = self._ports
+        if not ports.are_links_scarce or target.listed.domain == ports.domain:
+            return False
+        usable = ports.directory.list_usable(self._service)
+        return any(each.listed.domain == ports.domain for each in usable)
+
     def _note_reply(self, attempt: Attempt, duration_ms: float) -> None:
         latency = self._ports.latency
         attempt.target.note_reply(duration_ms, latency.quantile(0.5))
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -76,6 +76,7 @@
     ) -> None:
         self._wire = wire
         self._directory = directory
+        self._domain = domain
         self._allowance = allowance
         self._generator = generator
         self._reporter = reporter
@@ -223,7 +224,9 @@
                 chooser=self._chooser,
                 budget=self._find_budget(service.name),
                 latency=self._find_latency(route),
+                domain=self._domain,
                 max_links=max(int(links), 1),
+                are_links_scarce=links < 1,
                 warm_up=WarmUpGate(
                     service.warm_up_per_s,
                     self._entries,
--- a/shallotgate/gateway/_pool.py
+++ b/shallotgate/gateway/_pool.py
@@ -1,5 +1,6 @@
 """Connections to one target."""
 
+import asyncio
 import time
 
 from shallotgate.aio import TargetLink
@@ -20,6 +21,8 @@
         self.size = 0
         self._open_ms = _INITIAL_OPEN_MS
         self._idle: list[TargetLink] = []
+        # How often each link was given back to be kept for a time.
+        self._uses: dict[TargetLink, int] = {}
         self._is_closed = False
 
     @property
@@ -54,12 +57,20 @@
         self._open_ms += (opened_ms - self._open_ms) * _NEWEST_PART
         return link
 
-    def give_back(self, link: TargetLink) -> None:
-        """Keep a link for the next request, if it can be used again."""
-        if link.is_usable and not self._is_closed:
-            self._idle.append(link)
-        else:
+    def give_back(self, link: TargetLink, keep_s: float | None) -> None:
+        """Keep a link for the next request, if it can be used again.
+
+        It is closed when it was idle for ``keep_s``; None is without limit.
+        """
+        if self._is_closed or not link.is_usable:
             link.close()
+            return
+        self._idle.append(link)
+        if keep_s is not None:
+            uses = self._uses.get(link, 0) + 1
+            self._uses[link] = uses
+            loop = asyncio.get_running_loop()
+            loop.call_later(keep_s, self._close_unused, link, uses)
 
     def close(self) -> None:
         """Close the idle links; links in use are closed when given back."""
@@ -69,7 +80,12 @@
         for link in idle:
             link.close()
 
+    def _close_unused(self, link: TargetLink, uses: int) -> None:
+        if self._uses.get(link) == uses and link in self._idle:
+            link.close()
+
     def _forget(self, link: TargetLink) -> None:
         self.size -= 1
+        self._uses.pop(link, None)
         if link in self._idle:
             self._idle.remove(link)
--- a/shallotgate/gateway/tests/test_many_entries.py
+++ b/shallotgate/gateway/tests/test_many_entries.py
@@ -105,3 +105,21 @@
     answers = run_virtual(play())
     missing = [int(dict(one.headers).get(b'missing', 99)) for one, _ in answers]
     assert missing.count(0) > 0.95 * len(answers)
+
+
+def test_entries_that_all_turn_to_one_target_do_not_keep_links_to_it():
+    """Guards against more links than a target takes, which it would reset."""
+
+    async def play():
+        tier = SimulatedTier(84, shards=2, max_connections=74, objective_ms=100)
+        await tier.ask_many(PER_S * 10, 60)
+        for targets in tier.targets.values():
+            for target in targets[1:]:
+                target.is_not_run = True
+        await tier.ask_many(PER_S * 10, 60)
+        return [
+            sum(each.count_links(targets[0].name) for each in tier.entries)
+            for targets in tier.targets.values()
+        ]
+
+    assert max(run_virtual(play())) <= 74
--- a/shallotgate/gateway/tests/test_warming.py
+++ b/shallotgate/gateway/tests/test_warming.py
@@ -14,7 +14,7 @@
     """Return when requests reached the cold target, in seconds."""
 
     async def ask():
-        entry = SimulatedEntry(shards=1, copies=3, warm_up_per_s=per_s)
+        entry = SimulatedEntry(shards=1, warm_up_per_s=per_s)
         entry.gateway.entries = entries
         cold = entry.directory.list_usable('s0')[0]
         cold.cold_until = time.monotonic() + COLD_S
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -18,6 +18,8 @@
 from testkit.gateway._targets import SimulatedPool, SimulatedTarget
 
 _MS_PER_S = 1000
+# Targets of a service.
+_COPIES = 3
 # Failure domains of targets, in turn.
 DOMAINS = 'abc'
 _SEED = 7
@@ -36,9 +38,9 @@
     def __init__(
         self,
         shards: int,
-        copies: int = 3,
         slack: float = 100,
         warm_up_per_s: float = 0,
+        max_connections: int = _MAX_CONNECTIONS,
         seed: int = _SEED,
         domain: str = 'a',
         targets: Mapping[str, Sequence[SimulatedTarget]] | None = None,
@@ -56,7 +58,7 @@
         )
         names = tuple(f's{number}' for number in range(shards))
         self.targets = targets or {
-            name: [SimulatedTarget(f'{name}-{copy}') for copy in range(copies)]
+            name: [SimulatedTarget(f'{name}-{copy}') for copy in range(_COPIES)]
             for name in names
         }
         self._list_targets()
@@ -74,7 +76,7 @@
         services = tuple(
             Service(
                 name,
-                max_connections=_MAX_CONNECTIONS,
+                max_connections=max_connections,
                 warm_up_per_s=warm_up_per_s,
             )
             for name in names
@@ -126,6 +128,15 @@
             for known in self.directory.list_usable(service)
         )
 
+    def count_links(self, target: str) -> int:
+        """Return how many links are open to a target."""
+        return sum(
+            known.pool.size
+            for service in self.targets
+            for known in self.directory.list_usable(service)
+            if known.listed.target == target
+        )
+
     def _list_targets(self) -> None:
         listed = [
             ListedTarget(
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -112,15 +112,24 @@
         self.size += 1
         return SimulatedLink(self._target)
 
-    def give_back(self, link: SimulatedLink) -> None:
-        """Keep a link."""
-        if link.is_usable:
-            self._idle.append(link)
+    def give_back(self, link: SimulatedLink, keep_s: float | None) -> None:
+        """Keep a link, at most for a time."""
+        if not link.is_usable:
+            return
+        self._idle.append(link)
+        if keep_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(keep_s, self._close_idle, link)
 
     def close(self) -> None:
         """Forget the links."""
         self._idle.clear()
 
+    def _close_idle(self, link: SimulatedLink) -> None:
+        if link in self._idle:
+            self._idle.remove(link)
+            self.size -= 1
+
 
 def _copy(
     task: 'asyncio.Task[Reply]',
