--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format generate lint types unit test demo bench soak clean
+.PHONY: setup format generate lint types unit test demo bench soak soak-platform clean
 
 setup: $(STAMP)
 
@@ -43,5 +43,8 @@
 soak: setup
 	$(BIN)/python -m testkit.soak --seed $(or $(SEED),1) --minutes $(or $(MINUTES),2)
 
+soak-platform: setup
+	PYTHONPATH=platform/tests:platform:. $(BIN)/python -m soak --seeds $(or $(SEEDS),1) --seconds $(or $(SECONDS),12)
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .mypy_cache .ruff_cache
