Tell the leader of slow and failing targets at once

Change: three slow or failed replies are told in a message of their own, at most each 0.15 s; the leader publishes as often, and a reply counts for 1/e after 0.5 s, since older good ones hid the first slow ones.

--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -1,7 +1,7 @@
 """Targets that requests may be sent to."""
 
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from shallotgate.gateway._health import TargetHealth
@@ -55,12 +55,13 @@
 class Directory:
     """Targets by service, as the leader last told."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_trouble: Callable[[], None] | None = None) -> None:
+        """``on_trouble`` is called when the leader should hear of replies."""
         self.source = ''
         self.revision = -1
         self.domains_out: frozenset[str] = frozenset()
         self.domains_revision = -1
-        self.sums = ReplySums()
+        self.sums = ReplySums(on_trouble)
         # Revision of the conditions that the leader told; -1 without any.
         self.conditions_revision = -1
         # Targets that the leader said are not well.
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable, Sequence
 
 from shallotgate.errors import FindingsError, TransportError
-from shallotgate.generated.messages import FollowTier, TableUpdate, TierUpdate
+from shallotgate.generated.messages import (
+    FollowTier,
+    ObservedReplies,
+    TableUpdate,
+    TierUpdate,
+)
 from shallotgate.logs import get_logger
 from shallotgate.routes import RoutingTable, TableCodec
 from shallotgate.transport import Mailbox
@@ -68,6 +73,16 @@
         """Stop after the call that is under way."""
         self._stopped.set()
 
+    def tell(self, observed: ObservedReplies) -> None:
+        """Tell the leader what replies showed, without waiting."""
+        leader = self._leader
+        if not leader:
+            return
+        try:
+            self._mailbox.send(leader, observed)
+        except TransportError as error:
+            _LOGGER.info('The leader was not told: %s.', error)
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             peer = self._choose_peer()
--- a/shallotgate/gateway/_sums.py
+++ b/shallotgate/gateway/_sums.py
@@ -1,6 +1,7 @@
 """What this entry saw of targets and has not told the leader yet."""
 
 import threading
+from collections.abc import Callable
 
 from shallotgate.generated.messages import ObservedReplies
 
@@ -8,6 +9,12 @@
 # does not make a target slow, several such replies in a row do.
 _MAX_SLOWNESS = 4.0
 
+# A reply that takes this many times the usual is a sign of trouble.
+_SLOW = 2.0
+# Signs of trouble that the leader should hear of at once: single ones are
+# normal.
+_MIN_TROUBLES = 3
+
 
 class ReplySums:
     """Sums over attempts, by target; used from several threads.
@@ -21,8 +28,12 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_trouble: Callable[[], None] | None = None) -> None:
+        """``on_trouble`` is called while several replies show trouble."""
         self._lock = threading.Lock()
+        self._on_trouble = on_trouble
+        # Slow replies and failures among the sums.
+        self._troubles = 0
         # Replies, slowness and failures of a target.
         self._sums: dict[str, tuple[int, float, int]] = {}
 
@@ -39,6 +50,7 @@
         with self._lock:
             sums = self._sums
             self._sums = {}
+            self._troubles = 0
         if not sums:
             return None
         return ObservedReplies(
@@ -48,6 +60,11 @@
             failures=[failures for _, _, failures in sums.values()],
         )
 
+    @property
+    def is_troubled(self) -> bool:
+        """Whether the leader should hear of the sums at once."""
+        return self._troubles >= _MIN_TROUBLES
+
     def _add(self, target: str, slowness: float, failures: int) -> None:
         with self._lock:
             known = self._sums.get(target, (0, 0, 0))
@@ -56,3 +73,7 @@
                 known[1] + slowness,
                 known[2] + failures,
             )
+        if failures or slowness >= _SLOW:
+            self._troubles += 1
+            if self._on_trouble is not None and self.is_troubled:
+                self._on_trouble()
--- a/shallotgate/gateway/tests/test_many_entries.py
+++ b/shallotgate/gateway/tests/test_many_entries.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 
+from shallotgate.gateway._sums import ReplySums
 from testkit.gateway import SimulatedTier
 from testkit.virtual import run_virtual
 
@@ -123,3 +124,37 @@
         ]
 
     assert max(run_virtual(play())) <= 74
+
+
+def test_all_entries_hear_of_slow_targets_within_half_a_second():
+    """Guards against news that wait for the turn of each entry."""
+
+    async def play():
+        tier = SimulatedTier(ENTRIES, shards=SHARDS)
+        sharing = asyncio.ensure_future(tier.share())
+        await tier.ask_many(PER_S * 5, PER_S)
+        for targets in tier.targets.values():
+            targets[0].work_s = 0.1
+        await tier.ask_many(PER_S // 2, PER_S)
+        await asyncio.sleep(0.1)
+        told = [len(each.directory.list_unwell()) for each in tier.entries]
+        sharing.cancel()
+        return told
+
+    assert min(run_virtual(play())) > SHARDS / 2
+
+
+def test_trouble_is_told_without_waiting_for_the_turn():
+    """Guards against a callback that is never made, or for each reply."""
+    calls = []
+    sums = ReplySums(lambda: calls.append(1))
+    for _ in range(10):
+        sums.add_reply('t1', 1.1)
+    sums.add_failure('t1')
+    sums.add_reply('t2', 3)
+    assert calls == []
+    sums.add_failure('t3')
+    assert calls == [1]
+    sums.take()
+    sums.add_failure('t3')
+    assert calls == [1]
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -37,6 +37,9 @@
 # the process ends by itself.
 _GIVE_UP_SHARE = 0.92
 _POLL_S = 0.02
+# Least time between two messages on slow and failing targets, in seconds: the
+# leader publishes about as often.
+_TELL_GAP_S = 0.15
 # Longest wait for the event loop to put an update in force, in seconds.
 _APPLY_S = 5.0
 
@@ -54,7 +57,8 @@
         self._is_leaving = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self._metrics = Metrics()
-        self._directory = Directory()
+        self._directory = Directory(self._tell_trouble)
+        self._told_at = float('-inf')
         self._gateway = Gateway(
             wire=wire,
             directory=self._directory,
@@ -143,6 +147,16 @@
             conditions_revision=self._directory.conditions_revision,
         )
 
+    def _tell_trouble(self) -> None:
+        """Tell the leader of slow and failing targets before its turn."""
+        now = time.monotonic()
+        if now - self._told_at < _TELL_GAP_S:
+            return
+        self._told_at = now
+        observed = self._directory.sums.take()
+        if observed is not None:
+            self._follower.tell(observed)
+
     def _apply_in_loop(
         self,
         update: TierUpdate,
--- a/shallotgate/registry/_conditions.py
+++ b/shallotgate/registry/_conditions.py
@@ -10,7 +10,7 @@
 _LOGGER = get_logger('conditions')
 # Seconds after which a reply counts for 1/e: a target that turns slow shows
 # within a few tenths of a second, and a pause of 0.15 s does not.
-_MEMORY_S = 1.0
+_MEMORY_S = 0.5
 # Replies of the usual time that each target is assumed to have given, so that
 # a single slow one says little.
 _ASSUMED = 2.0
@@ -30,7 +30,7 @@
 _FORGET_S = 10.0
 # Least time between two publications, in seconds: each is a message to each
 # entry.
-_PUBLISH_S = 0.3
+_PUBLISH_S = 0.15
 # A value that moved by less than this part is not told again.
 _SAME_PART = 0.3
 
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -12,6 +12,7 @@
 from shallotgate.generated.messages import (
     DomainsUpdate,
     FollowTier,
+    ObservedReplies,
     TableUpdate,
     TierUpdate,
 )
@@ -79,6 +80,7 @@
             daemon=True,
         )
         mailbox.subscribe(FollowTier, self._on_follow)
+        mailbox.subscribe(ObservedReplies, self._on_observed)
         state.subscribe(self._wake)
         listing.subscribe(self._wake)
         log.on_leadership(self._on_leadership)
@@ -109,6 +111,9 @@
         if delivery.message.observed is not None:
             self._conditions.take(delivery.message.observed, now)
 
+    def _on_observed(self, delivery: Delivery) -> None:
+        self._conditions.take(delivery.message, time.monotonic())
+
     def _on_leadership(self, is_leading: bool) -> None:
         self._wake()
 
--- a/testkit/gateway/_tier.py
+++ b/testkit/gateway/_tier.py
@@ -64,15 +64,20 @@
     async def _follow(self, entry: SimulatedEntry) -> None:
         loop = asyncio.get_running_loop()
         while True:  # noqa: WPS457 - until it is cancelled
-            observed = entry.directory.sums.take()
-            if observed is not None:
-                self._board.take(observed, loop.time())
+            self._tell(entry)
             until = loop.time() + _FOLLOW_S
             update = None
             while update is None and loop.time() < until:
                 await asyncio.sleep(_LOOK_S)  # noqa: WPS476 - waits for news
+                if entry.directory.sums.is_troubled:
+                    self._tell(entry)
                 self._board.publish(loop.time())
                 update = self._board.make_update(
                     entry.directory.conditions_revision,
                 )
             entry.directory.take_conditions(update)
+
+    def _tell(self, entry: SimulatedEntry) -> None:
+        observed = entry.directory.sums.take()
+        if observed is not None:
+            self._board.take(observed, asyncio.get_running_loop().time())
