Spread the elections of members that start late together

Cause: after all were down, each member's election was due when it had started; all stood at once and the votes split. Waits between two attempts to connect grew to 0.5 s, and decoders of 130 messages were made at each start. Change: an election that is due already at the start waits for up to 0.15 s at random; connections are tried each 0.1 s at least; a decoder is made when its first message comes.

--- a/shallotgate/codec/_tagged.py
+++ b/shallotgate/codec/_tagged.py
@@ -13,15 +13,18 @@
 
 _T = TypeVar('_T')
 
-_DECODERS: Mapping[str, msgspec.msgpack.Decoder[Any]] = MappingProxyType(
+_TYPES: Mapping[str, type] = MappingProxyType(
     {
-        name: msgspec.msgpack.Decoder(member)
+        name: member
         # A Verdict of the catalogue travels as the result of a command.
         for module in (messages, catalogue)
         for name, member in inspect.getmembers(module, inspect.isclass)
         if dataclasses.is_dataclass(member)
     }
 )
+# Decoders of the types that came so far: to make all of them takes a good part
+# of the time to start.
+_decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
 _TAGGED = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -50,9 +53,12 @@
 
 def decode_named(name: str, raw: bytes | msgspec.Raw) -> Any:
     """Decode a message whose type name is known."""
-    decoder = _DECODERS.get(name)
+    decoder = _decoders.get(name)
     if decoder is None:
-        raise CodecError(f'unknown message type {name!r}')
+        if name not in _TYPES:
+            raise CodecError(f'unknown message type {name!r}')
+        decoder = msgspec.msgpack.Decoder(_TYPES[name])
+        _decoders[name] = decoder
     try:
         return decoder.decode(raw)
     except msgspec.MsgspecError as error:
--- a/shallotgate/consensus/_elector.py
+++ b/shallotgate/consensus/_elector.py
@@ -58,6 +58,11 @@
                 core.times.election_min_s,
                 core.times.election_max_s,
             )
+            if self._due < now:
+                # Members that start together are all late; if all stand at
+                # once, each votes for itself and none is elected.
+                late_s = core.times.late_spread_s
+                self._due = now + self._random.uniform(0, late_s)
         if core.leadership is not None or not core.is_voter:
             self._end()
             return
--- a/shallotgate/consensus/_times.py
+++ b/shallotgate/consensus/_times.py
@@ -21,6 +21,9 @@
     lease_s: float = 0.6
     election_min_s: float = 0.8
     election_max_s: float = 1.6
+    # Members whose election is due already when they start stand within this
+    # time: a vote takes some tens of milliseconds.
+    late_spread_s: float = 0.15
     # Wait before another attempt after an election without a winner.
     retry_min_s: float = 0.1
     retry_max_s: float = 0.4
--- a/shallotgate/transport/_sender.py
+++ b/shallotgate/transport/_sender.py
@@ -17,6 +17,10 @@
 _SOCKET_BUFFER = 128
 _SEND_TIMEOUT_MS = 500
 _WATCH_S = 0.5
+# Waits between two attempts to connect, in milliseconds, doubled up to the
+# second: a peer that starts is reached soon, and a dial costs little.
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 100
 # A peer that is sent to but not heard from for this long gets a new
 # connection: after a silent cut TCP would go on waiting in its back-off.
 _SILENCE_S = 2.0
@@ -126,8 +130,8 @@
         socket = pynng.Push0(
             send_timeout=_SEND_TIMEOUT_MS,
             send_buffer_size=_SOCKET_BUFFER,
-            reconnect_time_min=50,
-            reconnect_time_max=500,
+            reconnect_time_min=_RECONNECT_MIN_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
         )
         socket.dial(f'tcp://{self.address}', block=False)
         return socket
