--- a/shallotgate/gateway/tests/test_stragglers.py
+++ b/shallotgate/gateway/tests/test_stragglers.py
@@ -150,3 +150,19 @@
     response, _ = run_virtual(play())
     assert response.status == 200
     assert read_missing(response) == 11
+
+
+def test_partial_answer_of_many_shards_leaves_time_to_send_its_signatures():
+    """Guards against answers over 54 shards that are late on a slow link."""
+
+    async def play():
+        entry = SimulatedEntry(shards=54, objective_ms=58)
+        await entry.ask_many(20, per_s=50)
+        for target in entry.targets['s3']:
+            target.work_s = 10
+        return await entry.ask('many signatures', way_s=0.006)
+
+    response, duration_ms = run_virtual(play())
+    assert response.status == 200
+    # The way, and a signature of some 28 bytes a shard at 1.25 bytes a us.
+    assert duration_ms + 6 + 54 * 28 / 1250 + 5 < 58
