Count a connection that is given up while it hangs as a failure

Change: an attempt that is given up after 50 ms without a connection counts as a failure of its target, for this entry and for all others. Measured: the test without network fails before and passes now.

--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -13,6 +13,9 @@
 # Longest wait for a connection, in seconds; a target that is up accepts
 # within milliseconds.
 _CONNECT_S = 1.0
+# Time within which a connection is usually open, in milliseconds: a round trip
+# between domains and the work of the target for it, several times over.
+_CONNECT_USUAL_MS = 50
 # A reply that nobody needs any more is waited for this long, in seconds, so
 # that its connection can be used again. After that the connection is closed,
 # which cancels the work; callers that leave must free targets within 0.5 s.
@@ -100,8 +103,7 @@
         health.in_flight.pop(self, None)
         duration_ms = (time.monotonic() - self.started_at) * _MS_PER_S
         if future.cancelled():
-            if self._link is not None:
-                self._link.close()
+            self._settle_given_up(duration_ms)
             return
         error = future.exception()
         if error is None:
@@ -116,6 +118,13 @@
         if self._link is not None:
             self.target.pool.give_back(self._link, self._keep_link_s)
 
+    def _settle_given_up(self, duration_ms: float) -> None:
+        if self._link is not None:
+            self._link.close()
+        elif duration_ms > _CONNECT_USUAL_MS:
+            # The target left the opening of the connection unanswered.
+            self.target.note_failure()
+
     def _note_reply(self, reply: Reply, duration_ms: float) -> None:
         health = self.target.health
         facts = self.read_facts(reply)
--- a/shallotgate/gateway/tests/test_stragglers.py
+++ b/shallotgate/gateway/tests/test_stragglers.py
@@ -166,3 +166,23 @@
     assert response.status == 200
     # The way, and a signature of some 28 bytes a shard at 1.25 bytes a us.
     assert duration_ms + 6 + 54 * 28 / 1250 + 5 < 58
+
+
+def test_target_whose_connections_hang_is_avoided_after_one_request():
+    """Guards against dark targets that each request tries anew.
+
+    The second attempt answers long before the connection has timed out.
+    """
+
+    async def play():
+        entry = SimulatedEntry(shards=4)
+        for targets in entry.targets.values():
+            targets[0].is_dark = True
+        # All requests at once, so that all meet the dark targets unknowingly.
+        await asyncio.gather(*(entry.ask(f'first {n}') for n in range(4)))
+        await asyncio.sleep(0.1)
+        return [await entry.ask(f'later {n}') for n in range(20)]
+
+    answers = run_virtual(play())
+    assert all(read_missing(response) == 0 for response, _ in answers)
+    assert max(duration for _, duration in answers) < 20
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -32,6 +32,8 @@
     is_losing: bool = False
     # Whether connections can be opened.
     is_up: bool = True
+    # Whether it answers nothing at all, not even the opening of a connection.
+    is_dark: bool = False
     # Ids of the requests that arrived, and of those that it finished.
     arrived: list[bytes] = field(default_factory=list)
     finished: list[bytes] = field(default_factory=list)
@@ -106,7 +108,9 @@
 
     async def open(self, timeout_s: float) -> SimulatedLink:
         """Open a link."""
-        await asyncio.sleep(_CONNECT_S)
+        await asyncio.sleep(timeout_s if self._target.is_dark else _CONNECT_S)
+        if self._target.is_dark:
+            raise TargetConnectError('timed out')
         if not self._target.is_up:
             raise TargetConnectError('refused')
         self.size += 1
