Try another replica when an owner did not answer an attempt

Silent owners are noted after 2 s only, so this came first whenever no second attempt had been started by then.

Change: a timeout without a word of the owner counts as a lost attempt and is sent to another replica from the retry budget.

Before and after: the new test gave a partial answer, now a complete one; 97 tests of the package pass.

Conclusion: the shard was given up by a rule of this tier, not by load.

--- a/shallotgate/query/_run.py
+++ b/shallotgate/query/_run.py
@@ -20,6 +20,10 @@
 _FINAL = frozenset(('failed', 'timeout'))
 # Statuses without a word of the target, after which a replica is tried.
 _LOST = frozenset(('lost', 'cancelled'))
+# Reason of a timeout that this instance noted as the owner did not answer; it
+# comes after the longest time of an attempt, which may be long before the
+# deadline of the query.
+_UNANSWERED = 'no_reply'
 
 
 class QueryRun:
@@ -185,7 +189,8 @@
     def _accept_failure(self, sent: Sent, reply: AttemptReply) -> None:
         shard = sent.shard
         shard.reason = reply.reason or reply.status
-        is_final = reply.status in _FINAL
+        is_unanswered = reply.reason == _UNANSWERED
+        is_final = reply.status in _FINAL and not is_unanswered
         if reply.status == 'not_run':
             is_final = self._is_refused_for_good(reply)
             shard.passed.add(sent.candidate.target)
@@ -195,7 +200,7 @@
             # The first target is the same for each resend, so a fault of
             # that one target would fail the content for good.
             is_final = False
-        if reply.status in _LOST:
+        if reply.status in _LOST or is_unanswered:
             shard.losses += 1
         if not shard.active:
             self.driver.follow_up(shard, is_final=is_final)
--- a/shallotgate/query/tests/test_fan_out.py
+++ b/shallotgate/query/tests/test_fan_out.py
@@ -67,6 +67,28 @@
     assert answer.outcome == 'complete'
 
 
+def test_unanswered_attempt_is_sent_to_another_replica():
+    """Guards against a shard given up because one owner did not answer.
+
+    An entry ends such an attempt itself, before the deadline of the query,
+    where the longest time of an attempt is shorter.
+    """
+    tier = Tier()
+    asked = []
+
+    def reply_first_never(attempt):
+        asked.append(attempt.target)
+        if len(asked) == 1:
+            return reply_with('timeout', 'no_reply')(attempt)
+        return reply_ok(attempt)
+
+    for target in name_replicas(1):
+        tier.port.behaviours[target] = reply_first_never
+    answer = tier.ask()
+    assert answer.outcome == 'complete'
+    assert len(set(asked)) == len(asked) == 2
+
+
 def test_missing_shard_is_named_with_its_reason():
     """Guards against partial answers that look complete."""
     tier = Tier()
