Send no attempt to a target after its time is over

The lease is checked before an attempt is encoded and written; a process that is stopped between the two writes it when it wakes, with the shortest time-out in place of one that had long passed.

Change: an attempt whose time is over when its first byte would be sent is not sent and counts as such. A failing check now prints both counters.

--- a/shallotgate/targets/_http.py
+++ b/shallotgate/targets/_http.py
@@ -223,7 +223,11 @@
 
     def _send_and_read(self, method: str, path: str, body: bytes) -> bytes:
         connection = self._connection
-        connection.set_timeout(self._deadline - time.monotonic())
+        left_s = self._deadline - time.monotonic()
+        if left_s <= 0:
+            # The process may have been stopped since the attempt was allowed.
+            raise TargetConnectError('the time was over before it was sent')
+        connection.set_timeout(left_s)
         connection.send_head(method, path, body)
         response = connection.read_head()
         length = response.length
--- a/shallotgate/targets/tests/test_http_edge.py
+++ b/shallotgate/targets/tests/test_http_edge.py
@@ -101,6 +101,19 @@
         connect(standin)
 
 
+def test_nothing_is_sent_once_the_time_is_over(standin, rig):
+    """Guards against an attempt that a woken process sends late.
+
+    A process may be stopped between the check of its lease and the sending,
+    and wake when the target belongs to another owner or is out of service.
+    """
+    connection = connect(standin)
+    with pytest.raises(TargetConnectError):
+        connection.run(rig.make(), 0)
+    assert not standin.change()['counters'].get('ran')
+    connection.close()
+
+
 def test_late_reply_is_never_handed_to_another_attempt(standin, rig):
     """Guards against crossed replies after timeouts and cancellations."""
     assert rig.run().status == 'ok'
--- a/tests/support/_standins.py
+++ b/tests/support/_standins.py
@@ -75,7 +75,8 @@
     time.sleep(max(since + BOUND_S - time.monotonic(), 0))
     first = _count_attempts(tier, names)
     disturb()
-    assert _count_attempts(tier, names) == first
+    last = _count_attempts(tier, names)
+    assert last == first, (first, last)
 
 
 def _count_attempts(tier: Tier, names: Sequence[str]) -> dict[str, list[int]]:
