Write an attempt to a target in one piece

Headers and body went out in two writes with a switch of threads between them; a process stopped there had its headers at the target already, and the body followed when it woke.

Change: a request is put together first, then the time is checked and all of it is written at once.

--- a/shallotgate/targets/_http.py
+++ b/shallotgate/targets/_http.py
@@ -101,13 +101,33 @@
     headers and the response wrapper that small JSON replies don't need.
     """
 
-    def send_head(self, method: str, path: str, body: bytes) -> None:
-        """Send a request."""
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(host, port)
+        # The request that is being put together.
+        self._parts: list[bytes] = []
+
+    def prepare(self, method: str, path: str, body: bytes) -> None:
+        """Put a request together."""
+        self._parts.clear()
         self.putrequest(method, path, skip_accept_encoding=True)
         self.putheader('Content-Type', 'application/json')
         self.putheader('Content-Length', str(len(body)))
         self.endheaders(body or None)
 
+    def send(self, data: bytes) -> None:  # type: ignore[override]
+        """Keep a part of the request until all of it is there."""
+        self._parts.append(data)
+
+    def send_prepared(self) -> None:
+        """Send the request at once.
+
+        A target never holds the first part of a request whose rest comes
+        after a stop of this process.
+        """
+        if self.sock is None:
+            raise TargetLostError('connection closed')
+        self.sock.sendall(b''.join(self._parts))
+
     def read_head(self) -> http_client.HTTPResponse:
         """Read status line and headers."""
         return http_client.HTTPConnection.getresponse(self)
@@ -223,12 +243,13 @@
 
     def _send_and_read(self, method: str, path: str, body: bytes) -> bytes:
         connection = self._connection
+        connection.prepare(method, path, body)
         left_s = self._deadline - time.monotonic()
         if left_s <= 0:
             # The process may have been stopped since the attempt was allowed.
             raise TargetConnectError('the time was over before it was sent')
         connection.set_timeout(left_s)
-        connection.send_head(method, path, body)
+        connection.send_prepared()
         response = connection.read_head()
         length = response.length
         if length is None or length > MAX_REPLY_BYTES:
--- a/shallotgate/targets/tests/test_http_edge.py
+++ b/shallotgate/targets/tests/test_http_edge.py
@@ -114,6 +114,35 @@
     connection.close()
 
 
+class CountingSocket:
+    """Counts the writes to a socket."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.writes = 0
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    def sendall(self, content):
+        self.writes += 1
+        self.inner.sendall(content)
+
+
+def test_attempt_is_sent_in_one_write(standin, rig):
+    """Guards against an attempt whose second half a woken process sends.
+
+    The target had the headers before the process was stopped, and runs the
+    attempt as soon as the body is there, after the lease has ended.
+    """
+    connection = connect(standin)
+    inner = connection._connection
+    inner.sock = CountingSocket(inner.sock)
+    assert connection.run(rig.make(), 5).status == 'ok'
+    assert inner.sock.writes == 1
+    connection.close()
+
+
 def test_late_reply_is_never_handed_to_another_attempt(standin, rig):
     """Guards against crossed replies after timeouts and cancellations."""
     assert rig.run().status == 'ok'
