Lend extra attempts to entries whose own share is spent

Change: entries use 0.4 of their share of the slack without asking. Beyond it they ask the leader, in one message for all that is wanted at a time; it lends 0.35 of the slack of each service in any window. A new leader lends in proportion to the time that it leads; an entry waits 40 ms at most, and asks nothing for 0.4 s after a leader was silent.

--- a/shallotgate/gateway/_budget.py
+++ b/shallotgate/extras/_budget.py
@@ -1,32 +1,17 @@
-"""Attempts beyond the first, which a service bears only few of."""
+"""The extra attempts that an entry makes without asking."""
 
-from dataclasses import dataclass
-
-from shallotgate.gateway._window import WindowCount
-
-# Parts of the slack that an entry uses of its share: in any window, and in the
-# first window after a start, when it does not know what it spent before. If
-# all entries restart once, both may be spent in one window.
-_USED_PART = 0.75
-_INITIAL_PART = 0.25
+from shallotgate.extras._allowance import (
+    INITIAL_PART,
+    OWN_PART,
+    ExtraAllowance,
+)
+from shallotgate.extras._window import WindowCount
 
 # Part of the ratio that is used: the count reaches up to a twentieth beyond
 # the window, and what is counted may reach the service a little later.
 _RATIO_PART = 0.9
 
 
-@dataclass(frozen=True)
-class ExtraAllowance:
-    """What a service bears from all entries together."""
-
-    # Extra attempts for each request.
-    ratio: float
-    # Extra attempts in a window besides.
-    slack: float
-    # Seconds that the window lasts.
-    window_s: float
-
-
 class ExtraBudget:
     """This entry's share of the extra attempts on one service.
 
@@ -72,7 +57,7 @@
         allowance = self._allowance
         started_at = now if self._started_at is None else self._started_at
         is_new = now - started_at <= allowance.window_s
-        part = _INITIAL_PART if is_new else _USED_PART
+        part = INITIAL_PART if is_new else OWN_PART
         # At least one whole attempt, or a small share could never be used.
         slack = max(self._share * part, 1)
         return allowance.ratio * _RATIO_PART * self._count.requests + slack
--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -1,6 +1,6 @@
 """Data path of an entry: requests by route, fan-outs, second attempts."""
 
-from shallotgate.gateway._budget import ExtraAllowance, ExtraBudget
+from shallotgate.gateway._borrower import ExtraBorrower, ExtraLender
 from shallotgate.gateway._choice import TargetChooser
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._follower import TierFollower
@@ -17,8 +17,8 @@
 __all__ = (
     'CallerRequest',
     'Directory',
-    'ExtraAllowance',
-    'ExtraBudget',
+    'ExtraBorrower',
+    'ExtraLender',
     'Gateway',
     'ReplyFacts',
     'RequestReporter',
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -8,8 +8,9 @@
 
 from shallotgate.aio import Reply
 from shallotgate.errors import TargetConnectError
+from shallotgate.extras import ExtraBudget
 from shallotgate.gateway._attempt import Attempt
-from shallotgate.gateway._budget import ExtraBudget
+from shallotgate.gateway._borrower import ExtraLender
 from shallotgate.gateway._calls import Call
 from shallotgate.gateway._choice import TargetChooser
 from shallotgate.gateway._directory import Directory, Target
@@ -57,6 +58,8 @@
     directory: Directory
     chooser: TargetChooser
     budget: ExtraBudget
+    # Lends extra attempts when the budget is spent.
+    lender: ExtraLender
     # Recent replies to the route.
     latency: RecentLatency
     # Failure domain of this entry.
@@ -68,6 +71,17 @@
     warm_up: WarmUpGate
     on_event: Callable[[str], None]
 
+    def is_spare(self, target: Target) -> bool:
+        """Return whether the target has no room for a link of each entry.
+
+        Links to the targets of the own domain, which are asked first, are
+        kept in any case.
+        """
+        if not self.are_links_scarce or target.listed.domain == self.domain:
+            return False
+        usable = self.directory.list_usable(target.listed.service)
+        return any(each.listed.domain == self.domain for each in usable)
+
 
 class Dispatch:
     """One request on one service; ``run`` is called once."""
@@ -90,6 +104,12 @@
         self._waiter: asyncio.Future[None] | None = None
         self._tried: list[Target] = []
         self._sends = 0
+        # Attempts that ended before a connection was open: nothing arrived.
+        self._unsent = 0
+        # Whether the leader was asked for an extra attempt and has not
+        # answered, and whether it has lent one that was not made yet.
+        self._is_borrowing = False
+        self._is_lent = False
         # Attempts that ran or may have run.
         self._runs = 0
         self._failure: Reply | None = None
@@ -106,7 +126,7 @@
         """Return the first answer, or why there is none."""
         self._try_send()
         try:
-            while self._live:
+            while self._live or self._is_borrowing or self._is_lent:
                 outcome = await self._advance()
                 if outcome is not None:
                     return outcome
@@ -121,7 +141,7 @@
         if now >= self._call.deadline:
             return self._conclude()
         done = self._settled
-        if not done:
+        if not (done or self._is_lent):
             wake_at = min(self._hedge_at, self._call.deadline)
             await self._wait(wake_at - now)
             done = self._settled
@@ -130,8 +150,10 @@
             outcome = self._take(future)
             if outcome is not None:
                 return outcome
-        if done and not self._live:
+        if self._is_lent or (done and not self._live):
             self._try_send()
+            # One that can't be made now is not kept.
+            self._is_lent = False
         elif not done and time.monotonic() >= self._hedge_at:
             self._hedge()
         return None
@@ -174,7 +196,6 @@
     def _try_send(self) -> bool:
         """Start another attempt if target, budget and route allow it."""
         route = self._call.route
-        ports = self._ports
         limit = route.max_attempts if route.is_repeatable else 1
         if self._runs >= limit or self._sends >= _MAX_SENDS:
             return False
@@ -182,13 +203,35 @@
         if target is None:
             self._call.trace.add('no_target', service=self._service)
             return False
-        if self._sends and not ports.budget.take(time.monotonic()):
-            self._call.trace.add('no_budget', service=self._service)
-            ports.on_event('extra_denied')
+        # The service counts what follows a first attempt that arrived.
+        is_extra = self._sends > self._unsent
+        if is_extra and not self._pay():
             return False
         self._send(target)
         return True
 
+    def _pay(self) -> bool:
+        """Spend an extra attempt; ask the leader for one if none is left."""
+        ports = self._ports
+        if self._is_lent:
+            return True
+        if ports.budget.take(time.monotonic()):
+            return True
+        if not self._is_borrowing:
+            self._is_borrowing = True
+            self._call.trace.add('asked_for_extra', service=self._service)
+            ports.lender.ask(self._service, self._take_answer)
+        return False
+
+    def _take_answer(self, is_lent: bool) -> None:
+        """Take up whether the leader has lent an extra attempt."""
+        self._is_borrowing = False
+        self._is_lent = is_lent
+        if not is_lent:
+            self._call.trace.add('no_budget', service=self._service)
+        self._ports.on_event('extra_lent' if is_lent else 'extra_denied')
+        self._wake()
+
     def _choose(self) -> Target | None:
         ports = self._ports
         now = time.monotonic()
@@ -214,7 +257,7 @@
             self._call,
             target,
             self._note_reply,
-            _SPARE_LINK_S if self._is_spare(target) else None,
+            _SPARE_LINK_S if ports.is_spare(target) else None,
         )
         ports.warm_up.note_sent(target, now)
         self._live[attempt.future] = attempt
@@ -239,18 +282,6 @@
         self._hedge_at = now + wait_ms / _MS_PER_S
         self._hedge_by = now + wait_ms / _MS_PER_S * _HEDGE_PATIENCE
 
-    def _is_spare(self, target: Target) -> bool:
-        """Return whether the target has no room for a link of each entry.
-
-        Links to the targets of the own domain, which are asked first, are
-        kept in any case.
-        """
-        ports = self._ports
-        if not ports.are_links_scarce or target.listed.domain == ports.domain:
-            return False
-        usable = ports.directory.list_usable(self._service)
-        return any(each.listed.domain == ports.domain for each in usable)
-
     def _note_reply(self, attempt: Attempt, duration_ms: float) -> None:
         latency = self._ports.latency
         attempt.target.note_reply(duration_ms, latency.quantile(0.5))
@@ -264,6 +295,7 @@
         if error is not None:
             if isinstance(error, TargetConnectError):
                 self._runs -= 1
+                self._unsent += 1
             self._call.trace.add('lost', target=target, error=str(error))
             return None
         reply = future.result()
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -7,6 +7,7 @@
 
 from shallotgate.errors import FindingsError, TransportError
 from shallotgate.generated.messages import (
+    AskExtras,
     FollowTier,
     ObservedReplies,
     TableUpdate,
@@ -73,15 +74,20 @@
         """Stop after the call that is under way."""
         self._stopped.set()
 
-    def tell(self, observed: ObservedReplies) -> None:
-        """Tell the leader what replies showed, without waiting."""
+    def tell(self, message: ObservedReplies | AskExtras) -> bool:
+        """Send something to the leader without waiting; whether it was sent.
+
+        A leader that is lost without notice is found out by the next call.
+        """
         leader = self._leader
         if not leader:
-            return
+            return False
         try:
-            self._mailbox.send(leader, observed)
+            self._mailbox.send(leader, message)
         except TransportError as error:
             _LOGGER.info('The leader was not told: %s.', error)
+            return False
+        return True
 
     def _run(self) -> None:
         while not self._stopped.is_set():
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -8,7 +8,8 @@
 
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
-from shallotgate.gateway._budget import ExtraAllowance, ExtraBudget
+from shallotgate.extras import ExtraAllowance, ExtraBudget
+from shallotgate.gateway._borrower import ExtraLender
 from shallotgate.gateway._calls import Call
 from shallotgate.gateway._choice import TargetChooser
 from shallotgate.gateway._directory import Directory
@@ -75,6 +76,7 @@
         allowance: ExtraAllowance,
         generator: random.Random,
         reporter: RequestReporter,
+        lender: ExtraLender,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -82,6 +84,7 @@
         self._allowance = allowance
         self._generator = generator
         self._reporter = reporter
+        self._lender = lender
         self._chooser = TargetChooser(domain, generator)
         self._in_force: _InForce | None = None
         self._budgets: dict[str, ExtraBudget] = {}
@@ -227,6 +230,7 @@
                 directory=self._directory,
                 chooser=self._chooser,
                 budget=self._find_budget(service.name),
+                lender=self._lender,
                 latency=self._find_latency(route),
                 domain=self._domain,
                 max_links=max(int(links), 1),
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -7,13 +7,15 @@
 
 from shallotgate.aio import AsyncHttpServer, Handler, ServerLimits
 from shallotgate.consensus import ConsensusTimes, ReplicatedLog
+from shallotgate.extras import ExtraPool
 from shallotgate.generated.node import NodeSettings
 from shallotgate.generated.settings import Member
 from shallotgate.logs import get_logger
 from shallotgate.metrics import Metrics
 from shallotgate.node._metrics import make_metrics_server
-from shallotgate.node._settings import list_seeds
+from shallotgate.node._settings import list_seeds, read_allowance
 from shallotgate.registry import (
+    ExtraLending,
     FollowerService,
     ListingReader,
     OperatorService,
@@ -100,6 +102,11 @@
             listing=self._listing,
             list_members=self._list_members,
         )
+        self._lending = ExtraLending(
+            self._mailbox,
+            self._log,
+            ExtraPool(read_allowance(settings)),
+        )
         self._server = AsyncHttpServer(
             settings.operator_address,
             make_handler(OperatorService(self._client, codec)),
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -13,20 +13,24 @@
 from shallotgate.errors import ShallotgateError
 from shallotgate.gateway import (
     Directory,
-    ExtraAllowance,
+    ExtraBorrower,
     Gateway,
     RequestReporter,
     TierFollower,
     Wire,
 )
-from shallotgate.generated.messages import FollowTier, TierUpdate
+from shallotgate.generated.messages import (
+    FollowTier,
+    GrantExtras,
+    TierUpdate,
+)
 from shallotgate.generated.node import NodeSettings
 from shallotgate.logs import get_logger
 from shallotgate.metrics import Metrics
 from shallotgate.node._metrics import make_metrics_server
-from shallotgate.node._settings import list_seeds
+from shallotgate.node._settings import list_seeds, read_allowance
 from shallotgate.routes import RoutingTable, TableCodec
-from shallotgate.transport import Mailbox
+from shallotgate.transport import Delivery, Mailbox
 
 _LOGGER = get_logger('node')
 _START_ID_BYTES = 8
@@ -59,23 +63,25 @@
         self._metrics = Metrics()
         self._directory = Directory(self._tell_trouble)
         self._told_at = float('-inf')
+        self._borrower = ExtraBorrower(
+            lambda ask: self._follower.tell(ask),
+            lambda: self._gateway.entries,
+        )
         self._gateway = Gateway(
             wire=wire,
             directory=self._directory,
             domain=settings.domain,
-            allowance=ExtraAllowance(
-                settings.extra_ratio,
-                settings.extra_slack,
-                settings.extra_window_s,
-            ),
+            allowance=read_allowance(settings),
             generator=random.Random(),  # noqa: S311 - no secret
             reporter=RequestReporter(self._metrics),
+            lender=self._borrower,
         )
         self._mailbox = Mailbox(
             instance=settings.peer_address,
             start_id=secrets.token_hex(_START_ID_BYTES),
             listen_address=settings.peer_address,
         )
+        self._mailbox.subscribe(GrantExtras, self._on_grant)
         self._follower = TierFollower(
             mailbox=self._mailbox,
             codec=codec,
@@ -157,6 +163,13 @@
         if observed is not None:
             self._follower.tell(observed)
 
+    def _on_grant(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._borrower.accept,
+                delivery.message,
+            )
+
     def _apply_in_loop(
         self,
         update: TierUpdate,
--- a/shallotgate/node/_settings.py
+++ b/shallotgate/node/_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from shallotgate.errors import Finding, SettingsError
+from shallotgate.extras import ExtraAllowance
 from shallotgate.generated.node import NodeSettings
 
 
@@ -34,6 +35,15 @@
     return [f'{seed.partition(":")[0]}:{port}' for seed in settings.seeds]
 
 
+def read_allowance(settings: NodeSettings) -> ExtraAllowance:
+    """Return what a service bears beyond the first attempt of requests."""
+    return ExtraAllowance(
+        settings.extra_ratio,
+        settings.extra_slack,
+        settings.extra_window_s,
+    )
+
+
 def _parse(text: str) -> Any:
     if text.lstrip().startswith('{'):
         # JSON is YAML too, and needs no YAML parser in memory.
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -3,12 +3,14 @@
 from shallotgate.registry._client import RegistryClient
 from shallotgate.registry._conditions import ConditionBoard
 from shallotgate.registry._followers import FollowerService
+from shallotgate.registry._lending import ExtraLending
 from shallotgate.registry._listing import ListingReader, TargetListing
 from shallotgate.registry._operators import OperatorService, Verdict
 from shallotgate.registry._state import RegistryState
 
 __all__ = (
     'ConditionBoard',
+    'ExtraLending',
     'FollowerService',
     'ListingReader',
     'OperatorService',
