Let requests at the same time share the one target that is left

With 74 connections and 84 entries an entry's part is one request at a target at a time; a second request at the same moment found all targets of a shard taken.

Change: beyond its part an entry may have up to three requests at a target as long as the oldest takes no longer than usual there; links beyond one are closed at once, and those to the only target left after 0.5 s.

The new tests failed before (two answers of three were not whole) or guard the cap of links.

--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -28,11 +28,17 @@
 # It starts after this many medians at the latest: where a tenth of the targets
 # or more are slow, the quantile above is the time of a slow one.
 _HEDGE_MEDIANS = 2.2
+# Requests that an entry has at a target at once in spite of a smaller part of
+# its connections. Few entries have several at the same time, and the links
+# beyond one are closed at once.
+_MAX_AT_ONCE = 3
 # Idle time after which a link is closed, in seconds, to a target that has no
 # room for a link of each entry and is not the first choice of this one. The
 # links of entries that all turn to one target stay few, and a link still
 # serves several requests in a row.
 _SPARE_LINK_S = 1.0
+# The same for the only target that is left, whatever its domain.
+_ONLY_LINK_S = 0.5
 # If ``may_hedge`` says no, a second attempt starts after this multiple of the
 # wait: later it would not be back before most objectives.
 _HEDGE_PATIENCE = 2.0
@@ -71,16 +77,42 @@
     warm_up: WarmUpGate
     on_event: Callable[[str], None]
 
-    def is_spare(self, target: Target) -> bool:
-        """Return whether the target has no room for a link of each entry.
+    def has_room(self, target: Target, usual_ms: float, now: float) -> bool:
+        """Return whether the target may get one more request of this entry.
 
-        Links to the targets of the own domain, which are asked first, are
-        kept in any case.
+        Beyond this entry's part of the connections it may get a few while the
+        oldest one takes no longer than usual: not if it hangs.
         """
-        if not self.are_links_scarce or target.listed.domain == self.domain:
-            return False
-        usable = self.directory.list_usable(target.listed.service)
-        return any(each.listed.domain == self.domain for each in usable)
+        health = target.health
+        if len(health.in_flight) < self.max_links:
+            return True
+        is_waiting = health.read_stall_ms(now) > usual_ms
+        return len(health.in_flight) < _MAX_AT_ONCE and not is_waiting
+
+    def find_keep_s(self, target: Target) -> float | None:
+        """Return for how long an idle link is kept; None without limit.
+
+        Where a target has no room for a link of each entry, an entry keeps
+        one for good if the target is of its own domain or if none of its
+        domain is left. All entries turn to the one target that is left.
+        """
+        if not self.are_links_scarce:
+            return None
+        if target.pool.size and target.pool.wait_ms:
+            # One more beside those in use.
+            return 0
+        now = time.monotonic()
+        usable = [
+            each
+            for each in self.directory.list_usable(target.listed.service)
+            if not each.health.is_down(now)
+        ]
+        if len(usable) == 1:
+            return _ONLY_LINK_S
+        if target.listed.domain == self.domain:
+            return None
+        has_own = any(each.listed.domain == self.domain for each in usable)
+        return _SPARE_LINK_S if has_own else None
 
 
 class Dispatch:
@@ -235,16 +267,17 @@
     def _choose(self) -> Target | None:
         ports = self._ports
         now = time.monotonic()
+        usual_ms = ports.latency.quantile(0.5)
         usable = [
             target
             for target in ports.directory.list_usable(self._service)
-            if len(target.health.in_flight) < ports.max_links
+            if ports.has_room(target, usual_ms, now)
             and ports.warm_up.allows(target, now)
         ]
         return ports.chooser.choose(
             usable,
             self._tried,
-            ports.latency.quantile(0.5),
+            usual_ms,
             now,
         )
 
@@ -257,7 +290,7 @@
             self._call,
             target,
             self._note_reply,
-            _SPARE_LINK_S if ports.is_spare(target) else None,
+            ports.find_keep_s(target),
         )
         ports.warm_up.note_sent(target, now)
         self._live[attempt.future] = attempt
--- a/shallotgate/gateway/tests/test_many_entries.py
+++ b/shallotgate/gateway/tests/test_many_entries.py
@@ -158,3 +158,48 @@
     sums.take()
     sums.add_failure('t3')
     assert calls == [1]
+
+
+def test_requests_at_the_same_time_share_the_one_target_that_is_left():
+    """Guards against a request turned away as another one is under way.
+
+    Targets have less room for links than there are entries, so that an
+    entry's part of it is below one link.
+    """
+
+    async def play():
+        tier = SimulatedTier(84, shards=6, max_connections=74)
+        for targets in tier.targets.values():
+            targets[0].is_up = False
+            targets[1].is_up = False
+        await tier.entries[0].ask('first')
+        asked = [tier.entries[0].ask(f'q{number}') for number in range(3)]
+        return await asyncio.gather(*asked)
+
+    answers = run_virtual(play())
+    assert [one.status for one, _ in answers] == [200] * 3
+    assert {dict(one.headers)[b'missing'] for one, _ in answers} == {b'0'}
+
+
+def test_bursts_at_entries_leave_no_links_at_a_target_with_little_room():
+    """Guards against links that each entry opened once and kept for good."""
+
+    async def play():
+        tier = SimulatedTier(84, shards=2, max_connections=74)
+        for targets in tier.targets.values():
+            targets[1].is_up = False
+            targets[2].is_up = False
+        most = 0
+        for number in range(20):
+            await asyncio.gather(
+                *(
+                    tier.entries[(number * 7 + step // 3) % 84].ask(f'{step}')
+                    for step in range(21)
+                ),
+            )
+            links = sum(each.count_links('s0-0') for each in tier.entries)
+            most = max(most, links)
+            await asyncio.sleep(0.1)
+        return most
+
+    assert run_virtual(play()) <= 74
