--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -13,7 +13,11 @@
 from shallotgate.logs import get_logger
 from shallotgate.metrics import Metrics
 from shallotgate.node._metrics import make_metrics_server
-from shallotgate.node._settings import list_seeds, read_allowance
+from shallotgate.node._settings import (
+    list_seeds,
+    read_allowance,
+    read_listen_address,
+)
 from shallotgate.registry import (
     ExtraLending,
     FollowerService,
@@ -69,7 +73,7 @@
         self._mailbox = Mailbox(
             instance=settings.peer_address,
             start_id=start_id,
-            listen_address=settings.peer_address,
+            listen_address=read_listen_address(settings),
         )
         state = RegistryState()
         self._log = ReplicatedLog(
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -28,7 +28,11 @@
 from shallotgate.logs import get_logger
 from shallotgate.metrics import Metrics
 from shallotgate.node._metrics import make_metrics_server
-from shallotgate.node._settings import list_seeds, read_allowance
+from shallotgate.node._settings import (
+    list_seeds,
+    read_allowance,
+    read_listen_address,
+)
 from shallotgate.routes import RoutingTable, TableCodec
 from shallotgate.transport import Delivery, Mailbox
 
@@ -79,7 +83,7 @@
         self._mailbox = Mailbox(
             instance=settings.peer_address,
             start_id=secrets.token_hex(_START_ID_BYTES),
-            listen_address=settings.peer_address,
+            listen_address=read_listen_address(settings),
         )
         self._mailbox.subscribe(GrantExtras, self._on_grant)
         self._follower = TierFollower(
--- a/shallotgate/node/_settings.py
+++ b/shallotgate/node/_settings.py
@@ -35,6 +35,16 @@
     return [f'{seed.partition(":")[0]}:{port}' for seed in settings.seeds]
 
 
+def read_listen_address(settings: NodeSettings) -> str:
+    """Return the host and port to listen on for other instances.
+
+    >>> read_listen_address(NodeSettings(name='a', domain='d', seeds=[],
+    ...     peer_address='10.0.0.1:7740'))
+    '10.0.0.1:7740'
+    """
+    return settings.listen_address or settings.peer_address
+
+
 def read_allowance(settings: NodeSettings) -> ExtraAllowance:
     """Return what a service bears beyond the first attempt of requests."""
     return ExtraAllowance(
