Deliver answers that settle at the deadline; log all decisions of fan-outs

Cause: a dispatch looked at the clock before the attempts that had ended, and a fan-out took only parts whose task had run; an answer that came in the same turn of the loop as the end was lost (seen in reading). The trace of a request kept 64 decisions, of a fan-out over 36 shards in trouble about half, and did not tell how many it lacked; the decisions at the end say why it failed.

Change: what has settled is looked at first, and once more when a fan-out ends. A trace keeps 32 decisions and 4 a shard; the line tells how many are left out. The wait of a dispatch is a class of its own, for its size.

--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -15,6 +15,7 @@
 from shallotgate.gateway._choice import TargetChooser
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import RecentLatency
+from shallotgate.gateway._wakeup import Wakeup
 from shallotgate.gateway._warming import WarmUpGate
 from shallotgate.gateway._wire import Wire
 
@@ -131,9 +132,9 @@
         self._call = call
         self._service = service
         self._live: dict[asyncio.Future[Reply], Attempt] = {}
-        # Attempts that ended and were not looked at, and who waits for them.
+        # Attempts that ended and were not looked at.
         self._settled: list[asyncio.Future[Reply]] = []
-        self._waiter: asyncio.Future[None] | None = None
+        self._wakeup = Wakeup()
         self._tried: list[Target] = []
         self._sends = 0
         # Attempts that ended before a connection was open: nothing arrived.
@@ -170,18 +171,15 @@
     async def _advance(self) -> Outcome | None:
         """Wait for the next event and react to it."""
         now = time.monotonic()
-        if now >= self._call.deadline:
-            return self._conclude()
-        done = self._settled
-        if not (done or self._is_lent):
+        if not (self._settled or self._is_lent):
             wake_at = min(self._hedge_at, self._call.deadline)
-            await self._wait(wake_at - now)
-            done = self._settled
-        self._settled = []
-        for future in done:
-            outcome = self._take(future)
-            if outcome is not None:
-                return outcome
+            await self._wakeup.wait(wake_at - now)
+        done = bool(self._settled)
+        outcome = self.take_settled()
+        if outcome is not None:
+            return outcome
+        if time.monotonic() >= self._call.deadline:
+            return self._conclude()
         if self._is_lent or (done and not self._live):
             self._try_send()
             # One that can't be made now is not kept.
@@ -190,28 +188,22 @@
             self._hedge()
         return None
 
-    async def _wait(self, timeout_s: float) -> None:
-        """Wait for the end of an attempt, at most for a time.
+    def take_settled(self) -> Outcome | None:
+        """Look at the attempts that have ended; return the first answer.
 
-        There is one such wait for each part of each request, so it makes no
-        more objects than it needs.
+        A fan-out that ends calls it for parts whose task has not run since.
         """
-        loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
-        timer = loop.call_later(max(timeout_s, 0), self._wake)
-        try:
-            await self._waiter
-        finally:
-            timer.cancel()
-            self._waiter = None
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        settled = self._settled
+        self._settled = []
+        for future in settled:
+            outcome = self._take(future)
+            if outcome is not None:
+                return outcome
+        return None
 
     def _note_settled(self, future: 'asyncio.Future[Reply]') -> None:
         self._settled.append(future)
-        self._wake()
+        self._wakeup.wake()
 
     def _hedge(self) -> None:
         """Start a second attempt beside the first if that is sensible."""
@@ -262,7 +254,7 @@
         if not is_lent:
             self._call.trace.add('no_budget', service=self._service)
         self._ports.on_event('extra_lent' if is_lent else 'extra_denied')
-        self._wake()
+        self._wakeup.wake()
 
     def _choose(self) -> Target | None:
         ports = self._ports
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from shallotgate.gateway._gather import DispatchMaker, Gather, Gathered
 from shallotgate.gateway._latency import RecentLatency
 from shallotgate.gateway._report import RequestReporter
+from shallotgate.gateway._trace import RequestTrace
 from shallotgate.gateway._warming import WarmUpGate
 from shallotgate.gateway._wire import CallerRequest, Wire
 from shallotgate.logs import get_logger
@@ -190,6 +191,7 @@
             deadline=request.received_at
             + patience_ms / _MS_PER_S
             - _ANSWER_MARGIN_S,
+            trace=RequestTrace(len(route.shards)),
             answer_by=request.received_at + objective_s - way_s - own_s,
         )
 
--- a/shallotgate/gateway/_gather.py
+++ b/shallotgate/gateway/_gather.py
@@ -90,8 +90,16 @@
         finally:
             for task in tasks:
                 task.cancel()
+        self._take_last(tasks)
         return self._conclude()
 
+    def _take_last(self, tasks: Sequence['asyncio.Task[None]']) -> None:
+        """Take answers that came at the same moment as the end."""
+        for task, dispatch in zip(tasks, self._dispatches, strict=True):
+            outcome = None if task.done() else dispatch.take_settled()
+            if outcome is not None and outcome.status == 'answered':
+                self._parts.append(outcome)
+
     async def _wait(self) -> None:
         call = self._call
         if await self._wait_until(min(call.answer_by, call.deadline)):
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -103,6 +103,7 @@
                 'duration_ms': round(duration_ms, 1),
                 'objective_ms': call.route.objective_ms,
                 'steps': call.trace.list_steps(),
+                'steps_left_out': call.trace.left_out,
                 'left_out': self._left_out,
             },
         )
--- a/shallotgate/gateway/_trace.py
+++ b/shallotgate/gateway/_trace.py
@@ -2,8 +2,10 @@
 
 import time
 
-# Decisions kept of one request; a fan-out over many shards has a few each.
-_MAX_STEPS = 64
+# Decisions kept of one request, and besides for each of its shards: a part is
+# sent, sent again and may fail in between.
+_MAX_STEPS = 32
+_MAX_SHARD_STEPS = 4
 _MS_PER_S = 1000
 
 _Step = tuple[float, str, dict[str, object]]
@@ -18,7 +20,8 @@
     ['sent']
     """
 
-    def __init__(self) -> None:
+    def __init__(self, shards: int = 0) -> None:
+        self._max_steps = _MAX_STEPS + shards * _MAX_SHARD_STEPS
         self._started_at = time.monotonic()
         self._steps: list[_Step] = []
         self.left_out = 0
@@ -27,7 +30,7 @@
 
     def add(self, step: str, **inputs: object) -> None:
         """Note a decision and the inputs that decided it."""
-        if len(self._steps) < _MAX_STEPS:
+        if len(self._steps) < self._max_steps:
             self._steps.append((time.monotonic(), step, inputs))
         else:
             self.left_out += 1
--- a/shallotgate/gateway/tests/test_report.py
+++ b/shallotgate/gateway/tests/test_report.py
@@ -59,3 +59,23 @@
     records = play(caplog, 1000, prepare, per_s=500)
     assert len(records) <= 3 * 50
     assert sum(record.left_out for record in records) > 400
+
+
+@pytest.mark.parametrize(('every', 'is_whole'), [(2, True), (1, False)])
+def test_decisions_of_a_wide_fan_out_are_logged_or_counted(
+    caplog, every, is_whole
+):
+    """Guards against failed requests whose last decisions are cut off."""
+
+    async def ask():
+        entry = SimulatedEntry(shards=40, slack=1000, objective_ms=1)
+        for number, targets in enumerate(entry.targets.values()):
+            for target in targets:
+                target.is_not_run = number % every == 0
+        await entry.ask('q')
+
+    run_virtual(ask())
+    (record,) = [one for one in caplog.records if hasattr(one, 'request_id')]
+    assert list_steps(record).count('sent') == 40
+    assert len(record.steps) > 64
+    assert (record.steps_left_out == 0) == is_whole
