Refuse contents that crash the targets that work on them

Cause: the platform's path sent such a content again at each of its retries, at every entry; the bound on retries after the third crash had no keeper here.

Change: an entry that lost all targets that a request reached, without a reply of any, looks whether these take connections. Those that do not are reported to the leader with a digest of method, host, path and body. Two such requests with three targets make the leader tell all entries to refuse the content with 503 for 15 s, twice as long each time that it crashes a target again. A request that has lost three targets starts no further attempts until another target has answered, for two usual times of a reply at most.

--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from shallotgate.gateway._borrower import ExtraBorrower, ExtraLender
 from shallotgate.gateway._choice import TargetChooser
+from shallotgate.gateway._crashes import BarredContents
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._follower import TierFollower
 from shallotgate.gateway._gateway import Gateway
@@ -15,6 +16,7 @@
 )
 
 __all__ = (
+    'BarredContents',
     'CallerRequest',
     'Directory',
     'ExtraBorrower',
--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -85,7 +85,7 @@
         return link.send(
             self._wire.make_attempt(
                 call.caller,
-                call.body,
+                call.content.body,
                 call.left_ms(),
                 self.target.listed.target,
             ),
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -29,6 +29,9 @@
 # It starts after this many medians at the latest: where a tenth of the targets
 # or more are slow, the quantile above is the time of a slow one.
 _HEDGE_MEDIANS = 2.2
+# A suspected request is held for this many times the usual time of a reply:
+# most targets that work on it have answered by then.
+_HELD_MEDIANS = 2.0
 # Requests that an entry has at a target at once in spite of a smaller part of
 # its connections. Few entries have several at the same time, and the links
 # beyond one are closed at once.
@@ -143,6 +146,8 @@
         # answered, and whether it has lent one that was not made yet.
         self._is_borrowing = False
         self._is_lent = False
+        # Monotonic time until which the next attempt is held; 0 if it is not.
+        self._held_until: float = 0
         # Attempts that ran or may have run.
         self._runs = 0
         self._failure: Reply | None = None
@@ -159,7 +164,12 @@
         """Return the first answer, or why there is none."""
         self._try_send()
         try:
-            while self._live or self._is_borrowing or self._is_lent:
+            while (
+                self._live
+                or self._is_borrowing
+                or self._is_lent
+                or self._held_until
+            ):
                 outcome = await self._advance()
                 if outcome is not None:
                     return outcome
@@ -180,14 +190,33 @@
             return outcome
         if time.monotonic() >= self._call.deadline:
             return self._conclude()
-        if self._is_lent or (done and not self._live):
-            self._try_send()
-            # One that can't be made now is not kept.
-            self._is_lent = False
+        if self._is_lent or self._held_until or (done and not self._live):
+            self._send_on(time.monotonic())
         elif not done and time.monotonic() >= self._hedge_at:
             self._hedge()
         return None
 
+    def _send_on(self, now: float) -> None:
+        """Start the next attempt, unless the request is suspected.
+
+        If it has lost several targets and none has answered, it is held for a
+        moment: targets that crash for another reason leave others that answer.
+        """
+        is_suspicious = self._call.crashes.is_suspicious
+        if is_suspicious and self._held_until == 0:
+            usual_s = self._ports.latency.quantile(0.5) / _MS_PER_S
+            self._held_until = now + usual_s * _HELD_MEDIANS
+        if is_suspicious and now < self._held_until:
+            self._hedge_at = now + _HEDGE_MIN_MS / _MS_PER_S
+            return
+        self._held_until = 0
+        if is_suspicious:
+            self._call.trace.add('suspected', service=self._service)
+        else:
+            self._try_send()
+        # One that can't be made now is not kept.
+        self._is_lent = False
+
     def take_settled(self) -> Outcome | None:
         """Look at the attempts that have ended; return the first answer.
 
@@ -321,6 +350,8 @@
             if isinstance(error, TargetConnectError):
                 self._runs -= 1
                 self._unsent += 1
+            else:
+                self._call.crashes.lost.append(attempt.target)
             self._call.trace.add('lost', target=target, error=str(error))
             return None
         reply = future.result()
@@ -332,9 +363,11 @@
             self._call.trace.add('not_run', target=target, status=reply.status)
             return None
         if reply.status < 300 and facts.signature:
+            self._call.crashes.is_survived = True
             return Outcome('answered', reply, facts.signature)
         self._call.trace.add('failed', target=target, status=reply.status)
         if facts.signature:
+            self._call.crashes.is_survived = True
             self._failure = reply
         return None
 
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -8,6 +8,7 @@
 from shallotgate.errors import FindingsError, TransportError
 from shallotgate.generated.messages import (
     AskExtras,
+    CrashReport,
     FollowTier,
     ObservedReplies,
     TableUpdate,
@@ -74,7 +75,10 @@
         """Stop after the call that is under way."""
         self._stopped.set()
 
-    def tell(self, message: ObservedReplies | AskExtras) -> bool:
+    def tell(
+        self,
+        message: ObservedReplies | AskExtras | CrashReport,
+    ) -> bool:
         """Send something to the leader without waiting; whether it was sent.
 
         A leader that is lost without notice is found out by the next call.
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -12,6 +12,7 @@
 from shallotgate.gateway._borrower import ExtraLender
 from shallotgate.gateway._calls import Call
 from shallotgate.gateway._choice import TargetChooser
+from shallotgate.gateway._crashes import BarredContents, Content
 from shallotgate.gateway._directory import Directory
 from shallotgate.gateway._dispatch import Dispatch, Outcome, ServicePorts
 from shallotgate.gateway._gather import DispatchMaker, Gather, Gathered
@@ -78,6 +79,7 @@
         generator: random.Random,
         reporter: RequestReporter,
         lender: ExtraLender,
+        barred: BarredContents,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -86,6 +88,7 @@
         self._generator = generator
         self._reporter = reporter
         self._lender = lender
+        self._barred = barred
         self._chooser = TargetChooser(domain, generator)
         self._in_force: _InForce | None = None
         self._budgets: dict[str, ExtraBudget] = {}
@@ -163,9 +166,13 @@
             self._reporter.count('no_route')
             return self._wire.refuse(404, None)
         call = self._make_call(request, caller, route)
-        with self._reporter.observe(call) as observed:
-            response = await self._serve(call, in_force)
-            observed.conclude(response.status)
+        try:
+            with self._reporter.observe(call) as observed:
+                response = await self._serve(call, in_force)
+                observed.conclude(response.status)
+        finally:
+            # Also if the caller has left.
+            self._barred.follow_end(call.content, call.crashes)
         return response
 
     def _make_call(
@@ -184,7 +191,12 @@
         )
         return Call(
             caller=caller,
-            body=request.body,
+            content=Content(
+                request.method,
+                caller.host,
+                request.path,
+                request.body,
+            ),
             route=route,
             version=self.version,
             received_at=request.received_at,
@@ -196,6 +208,11 @@
         )
 
     async def _serve(self, call: Call, in_force: _InForce) -> Response:
+        barred_s = self._barred.read_left_s(call.content)
+        if barred_s:
+            call.trace.add('barred', left_s=barred_s)
+            self._reporter.count('refused_barred')
+            return self._wire.refuse(503, barred_s)
         make_dispatch = self._prepare(call, in_force)
         if call.route.shards:
             gathered = await Gather(call, make_dispatch).run()
--- /dev/null
+++ b/shallotgate/gateway/tests/test_crashes.py
@@ -0,0 +1,98 @@
+"""Load pattern: a content that crashes each target that works on it.
+
+It comes again and again, at any entry, beside harmless requests. No network
+is used.
+"""
+
+import asyncio
+
+from shallotgate.generated.messages import BarContent
+from testkit.gateway import SimulatedEntry
+from testkit.virtual import run_virtual
+
+# Time after which a crashed target is back, in seconds.
+BACK_S = 3
+POISON = b'poison'
+
+
+def count_crashes(entry):
+    return sum(target.crashes for target in entry.list_all_targets())
+
+
+def prepare(entry):
+    for target in entry.list_all_targets():
+        target.deadly_id = POISON
+        target.back_after_s = BACK_S
+
+
+def test_fan_out_does_not_crash_a_second_copy_of_each_shard():
+    """Guards against second attempts that double the damage."""
+
+    async def play():
+        entry = SimulatedEntry(shards=12)
+        await entry.ask_many(20, 50)
+        prepare(entry)
+        response, _ = await entry.ask(POISON.decode())
+        await asyncio.sleep(0.5)
+        return response.status, count_crashes(entry), entry.reports
+
+    status, crashes, reports = run_virtual(play())
+    assert status == 502
+    assert crashes <= 12 + 2
+    (report,) = reports
+    assert len(report.targets) >= 3
+
+
+def test_harmless_fan_out_is_served_when_targets_crash_together():
+    """Guards against a request that is given up for the crash of others."""
+
+    async def play():
+        entry = SimulatedEntry(shards=12, objective_ms=200)
+        await entry.ask_many(20, 50)
+        prepare(entry)
+        deadly = asyncio.ensure_future(entry.ask(POISON.decode()))
+        others = [entry.ask(f'q{number}') for number in range(2)]
+        answers = await asyncio.gather(*others)
+        await deadly
+        await asyncio.sleep(0.5)
+        return answers, entry.reports
+
+    answers, reports = run_virtual(play())
+    assert [one.status for one, _ in answers] == [200, 200]
+    assert len(reports) == 1
+
+
+def test_refused_content_reaches_no_target_and_others_do():
+    """Guards against retries that go on to crash targets."""
+
+    async def play():
+        entry = SimulatedEntry(shards=1)
+        prepare(entry)
+        await entry.ask(POISON.decode())
+        await asyncio.sleep(BACK_S + 1)
+        (report,) = entry.reports
+        entry.barred.take(BarContent(digest=report.digest, hold_ms=10_000))
+        before = count_crashes(entry)
+        refused, _ = await entry.ask(POISON.decode())
+        served, _ = await entry.ask('q')
+        crashes = count_crashes(entry) - before
+        await asyncio.sleep(10)
+        again, _ = await entry.ask(POISON.decode())
+        return refused.status, served.status, crashes, again.status
+
+    assert run_virtual(play()) == (503, 200, 0, 502)
+
+
+def test_lost_answers_of_sound_targets_are_no_crashes():
+    """Guards against contents refused because answers get lost."""
+
+    async def play():
+        entry = SimulatedEntry(shards=1)
+        for target in entry.list_all_targets():
+            target.is_losing = True
+        for number in range(5):
+            await entry.ask(f'q{number}')
+        await asyncio.sleep(1)
+        return entry.reports
+
+    assert run_virtual(play()) == []
--- a/shallotgate/gateway/tests/test_gather.py
+++ b/shallotgate/gateway/tests/test_gather.py
@@ -42,7 +42,7 @@
         now = time.monotonic()
         call = Call(
             caller=None,
-            body=b'',
+            content=None,
             route=route,
             version=1,
             received_at=now,
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -19,6 +19,7 @@
     read_listen_address,
 )
 from shallotgate.registry import (
+    CrashDesk,
     ExtraLending,
     FollowerService,
     ListingReader,
@@ -106,6 +107,11 @@
             listing=self._listing,
             list_members=self._list_members,
         )
+        self._crashes = CrashDesk(
+            self._mailbox,
+            self._log,
+            self._followers.list_entries,
+        )
         self._lending = ExtraLending(
             self._mailbox,
             self._log,
@@ -120,7 +126,7 @@
             settings.metrics_address,
             self._metrics,
         )
-        self._metrics.gauge('entries', self._followers.count_entries)
+        self._metrics.gauge('entries', self._count_entries)
 
     async def start(self) -> None:
         """Load the durable state and take part in the group."""
@@ -142,6 +148,9 @@
         await self._server.stop()
         await asyncio.to_thread(self._log.stop)
 
+    def _count_entries(self) -> int:
+        return len(self._followers.list_entries())
+
     def _list_members(self) -> list[str]:
         return [member.instance for member in self._log.status().members]
 
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -12,6 +12,7 @@
 )
 from shallotgate.errors import ShallotgateError
 from shallotgate.gateway import (
+    BarredContents,
     Directory,
     ExtraBorrower,
     Gateway,
@@ -20,6 +21,7 @@
     Wire,
 )
 from shallotgate.generated.messages import (
+    BarContent,
     FollowTier,
     GrantExtras,
     TierUpdate,
@@ -71,6 +73,9 @@
             lambda ask: self._follower.tell(ask),
             lambda: self._gateway.entries,
         )
+        self._barred = BarredContents(
+            lambda report: self._follower.tell(report)
+        )
         self._gateway = Gateway(
             wire=wire,
             directory=self._directory,
@@ -79,6 +84,7 @@
             generator=random.Random(),  # noqa: S311 - no secret
             reporter=RequestReporter(self._metrics),
             lender=self._borrower,
+            barred=self._barred,
         )
         self._mailbox = Mailbox(
             instance=settings.peer_address,
@@ -86,6 +92,7 @@
             listen_address=read_listen_address(settings),
         )
         self._mailbox.subscribe(GrantExtras, self._on_grant)
+        self._mailbox.subscribe(BarContent, self._on_bar)
         self._follower = TierFollower(
             mailbox=self._mailbox,
             codec=codec,
@@ -174,6 +181,13 @@
                 delivery.message,
             )
 
+    def _on_bar(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._barred.take,
+                delivery.message,
+            )
+
     def _apply_in_loop(
         self,
         update: TierUpdate,
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -2,6 +2,7 @@
 
 from shallotgate.registry._client import RegistryClient
 from shallotgate.registry._conditions import ConditionBoard
+from shallotgate.registry._crashes import CrashBoard, CrashDesk
 from shallotgate.registry._followers import FollowerService
 from shallotgate.registry._lending import ExtraLending
 from shallotgate.registry._listing import ListingReader, TargetListing
@@ -10,6 +11,8 @@
 
 __all__ = (
     'ConditionBoard',
+    'CrashBoard',
+    'CrashDesk',
     'ExtraLending',
     'FollowerService',
     'ListingReader',
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -94,10 +94,11 @@
         self._is_stopped = True
         self._wake()
 
-    def count_entries(self) -> int:
-        """Return how many entries share the limits of the targets."""
+    def list_entries(self) -> list[str]:
+        """Return the entries that share the limits of the targets."""
         oldest = time.monotonic() - _ENTRY_VALID_S
-        return sum(heard_at > oldest for heard_at in self._heard.values())
+        heard = tuple(self._heard.items())
+        return [entry for entry, heard_at in heard if heard_at > oldest]
 
     def _on_follow(self, delivery: Delivery) -> None:
         now = time.monotonic()
@@ -196,7 +197,7 @@
         return TierUpdate(
             status='current',
             members=self._list_members(),
-            entries=max(self.count_entries(), 1),
+            entries=max(len(self.list_entries()), 1),
             table=self._make_table(registry, message.table_version),
             domains=domains,
             listing=self._listing.make_update(
--- /dev/null
+++ b/shallotgate/registry/tests/test_crashes.py
@@ -0,0 +1,88 @@
+"""Contents that crash the targets that work on them, at the leader."""
+
+from shallotgate.generated.messages import BarContent, CrashReport
+from shallotgate.registry import CrashBoard, CrashDesk
+from shallotgate.transport import Delivery
+
+
+def test_one_request_among_many_lost_targets_is_not_refused():
+    """Guards against a harmless request that was at targets lost together."""
+    board = CrashBoard()
+    assert board.take('d', ['t1', 't2', 't3', 't4'], now=0) == 0
+    assert board.take('other', ['t1', 't2', 't3'], now=1) == 0
+
+
+def test_two_targets_may_be_lost_by_chance():
+    """Guards against refusals where one target crashes again and again."""
+    board = CrashBoard()
+    holds = [board.take('d', ['t1', 't2'], now) for now in range(5)]
+    assert holds == [0] * 5
+
+
+def test_few_retries_reach_targets_in_ten_minutes():
+    """Guards against a content that crashes targets at each of its retries.
+
+    It comes each second, and each time that it is not refused it crashes one.
+    """
+    board = CrashBoard()
+    refused_until = 0
+    reached = []
+    for now in range(600):
+        if now < refused_until:
+            continue
+        reached.append(now)
+        hold_s = board.take('d', [f't{now % 5}'], now)
+        refused_until = now + hold_s
+    third = reached[2]
+    # The bound is three retries from some seconds after the third crash on;
+    # here in the first minute, a day of the platform.
+    later = [now for now in reached if third + 4 < now < third + 60]
+    assert len(later) <= 3
+    assert len(reached) <= 10
+
+
+def test_crashes_are_forgotten():
+    """Guards against refusals for what was mended long ago."""
+    board = CrashBoard()
+    board.take('d', ['t1', 't2', 't3'], now=0)
+    assert board.take('d', ['t4'], now=700) == 0
+
+
+class FakeMailbox:
+    """Hands reports to the desk and keeps what it sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def subscribe(self, message_type, handler):
+        self.handler = handler
+
+    def send(self, peer, message):
+        self.sent.append((peer, message))
+
+
+class FakeLog:
+    leads = True
+
+    def is_leading(self):
+        return self.leads
+
+
+def test_all_entries_are_told_by_a_leader_only():
+    """Guards against entries that go on with what another one has found."""
+    mailbox, log = FakeMailbox(), FakeLog()
+    CrashDesk(mailbox, log, lambda: ['e1', 'e2'])
+
+    def report(*targets):
+        message = CrashReport(digest='d', targets=list(targets))
+        mailbox.handler(Delivery('e1', 'start', 'call', 0, message))
+
+    log.leads = False
+    report('t1', 't2', 't3')
+    report('t1', 't2', 't3')
+    log.leads = True
+    report('t1', 't2')
+    assert mailbox.sent == []
+    report('t3')
+    bar = BarContent(digest='d', hold_ms=15000)
+    assert mailbox.sent == [('e1', bar), ('e2', bar)]
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -7,6 +7,7 @@
 from shallotgate.aio import IncomingRequest, Response
 from shallotgate.extras import ExtraAllowance, ExtraPool
 from shallotgate.gateway import (
+    BarredContents,
     Directory,
     ExtraBorrower,
     Gateway,
@@ -14,6 +15,7 @@
 )
 from shallotgate.generated.messages import (
     AskExtras,
+    CrashReport,
     GrantExtras,
     ListedTarget,
     ListingUpdate,
@@ -65,6 +67,9 @@
             self._ask_leader,
             lambda: self.gateway.entries,
         )
+        # What the entry reports to a leader.
+        self.reports: list[CrashReport] = []
+        self.barred = BarredContents(self.reports.append)
         self.gateway = Gateway(
             wire=PlainWire(),
             directory=self.directory,
@@ -73,6 +78,7 @@
             generator=random.Random(seed),  # noqa: S311 - no secret
             reporter=RequestReporter(Metrics()),
             lender=self._borrower,
+            barred=self.barred,
         )
         names = tuple(f's{number}' for number in range(shards))
         self.targets = targets or {
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -32,6 +32,12 @@
     shed_share: float = 0
     # Whether it breaks the connection instead of answering.
     is_losing: bool = False
+    # Request that crashes it as soon as it works on it; empty for none.
+    deadly_id: bytes = b''
+    # Seconds for which it is down after a crash.
+    back_after_s: float = 1
+    # How often it crashed.
+    crashes: int = 0
     # Whether connections can be opened.
     is_up: bool = True
     # Whether it answers nothing at all, not even the opening of a connection.
@@ -50,16 +56,30 @@
         self.arrived.append(request_id)
         if self.is_not_run or self._sheds():
             return Reply(_SHED_STATUS, [(b'not-run', b'1')], b'')
+        if request_id == self.deadly_id:
+            self._crash()
+        crashes = self.crashes
         async with self._gate:
             await asyncio.sleep(self.work_s)
             await asyncio.sleep(max(self.paused_until - loop.time(), 0))
-        if self.is_losing:
+        if self.is_losing or crashes != self.crashes:
             raise TargetLostError('lost')
         self.finished.append(request_id)
         signature = b'%s.%s' % (self.name.encode(), request_id)
         body = _RECORD % random.randrange(_RECORD_LIMIT)  # noqa: S311
         return Reply(200, [(b'signature', signature)], body)
 
+    def _crash(self) -> None:
+        """Be down for a while; what it works on is lost."""
+        self.crashes += 1
+        self.is_up = False
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.back_after_s, self._start_again)
+        raise TargetLostError('crashed')
+
+    def _start_again(self) -> None:
+        self.is_up = True
+
     def _sheds(self) -> bool:
         return random.random() < self.shed_share  # noqa: S311 - no secret
 
