Wait while a lent attempt of a suspected request is held

Change: a held dispatch waits whatever was lent. The services of the leader are named like their neighbours, and two tests share their fakes.

Before and after: the new test did not end within 15 s, now it passes.

--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -181,7 +181,8 @@
     async def _advance(self) -> Outcome | None:
         """Wait for the next event and react to it."""
         now = time.monotonic()
-        if not (self._settled or self._is_lent):
+        is_due = self._is_lent and not self._held_until
+        if not (self._settled or is_due):
             wake_at = min(self._hedge_at, self._call.deadline)
             await self._wakeup.wait(wake_at - now)
         done = bool(self._settled)
@@ -191,12 +192,12 @@
         if time.monotonic() >= self._call.deadline:
             return self._conclude()
         if self._is_lent or self._held_until or (done and not self._live):
-            self._send_on(time.monotonic())
+            self._send_next(time.monotonic())
         elif not done and time.monotonic() >= self._hedge_at:
             self._hedge()
         return None
 
-    def _send_on(self, now: float) -> None:
+    def _send_next(self, now: float) -> None:
         """Start the next attempt, unless the request is suspected.
 
         If it has lost several targets and none has answered, it is held for a
--- a/shallotgate/gateway/tests/test_crashes.py
+++ b/shallotgate/gateway/tests/test_crashes.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from shallotgate.generated.messages import BarContent
-from testkit.gateway import SimulatedEntry
+from testkit.gateway import SimulatedEntry, SimulatedTier
 from testkit.virtual import run_virtual
 
 # Time after which a crashed target is back, in seconds.
@@ -96,3 +96,25 @@
         return entry.reports
 
     assert run_virtual(play()) == []
+
+
+def test_lent_attempt_of_a_suspected_request_waits_without_spinning():
+    """Guards against a loop that blocks all requests of the entry."""
+
+    async def play():
+        tier = SimulatedTier(1, shards=12, slack=3)
+        (entry,) = tier.entries
+        prepare(entry)
+        for targets in entry.targets.values():
+            # The own share is spent on a second attempt, which is lost.
+            targets[0].is_not_run = True
+        deadly = asyncio.ensure_future(entry.ask(POISON.decode()))
+        turns = 0
+        while not deadly.done():
+            await asyncio.sleep(0.001)
+            turns += 1
+        return turns, count_crashes(entry)
+
+    turns, crashes = run_virtual(play())
+    assert turns > 5
+    assert crashes <= 12 + 2
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -19,9 +19,9 @@
     read_listen_address,
 )
 from shallotgate.registry import (
-    CrashDesk,
-    ExtraLending,
+    CrashService,
     FollowerService,
+    LendingService,
     ListingReader,
     OperatorService,
     RegistryClient,
@@ -107,12 +107,12 @@
             listing=self._listing,
             list_members=self._list_members,
         )
-        self._crashes = CrashDesk(
+        self._crashes = CrashService(
             self._mailbox,
             self._log,
             self._followers.list_entries,
         )
-        self._lending = ExtraLending(
+        self._lending = LendingService(
             self._mailbox,
             self._log,
             ExtraPool(read_allowance(settings)),
--- a/shallotgate/registry/_crashes.py
+++ b/shallotgate/registry/_crashes.py
@@ -73,7 +73,7 @@
             return hold_s
 
 
-class CrashDesk:
+class CrashService:
     """Takes the reports of entries and answers all of them."""
 
     def __init__(
--- a/shallotgate/registry/tests/test_crashes.py
+++ b/shallotgate/registry/tests/test_crashes.py
@@ -1,7 +1,8 @@
 """Contents that crash the targets that work on them, at the leader."""
 
 from shallotgate.generated.messages import BarContent, CrashReport
-from shallotgate.registry import CrashBoard, CrashDesk
+from shallotgate.registry import CrashBoard, CrashService
+from shallotgate.registry.tests.fakes import FakeLog, FakeMailbox
 from shallotgate.transport import Delivery
 
 
@@ -48,30 +49,10 @@
     assert board.take('d', ['t4'], now=700) == 0
 
 
-class FakeMailbox:
-    """Hands reports to the desk and keeps what it sends."""
-
-    def __init__(self):
-        self.sent = []
-
-    def subscribe(self, message_type, handler):
-        self.handler = handler
-
-    def send(self, peer, message):
-        self.sent.append((peer, message))
-
-
-class FakeLog:
-    leads = True
-
-    def is_leading(self):
-        return self.leads
-
-
 def test_all_entries_are_told_by_a_leader_only():
     """Guards against entries that go on with what another one has found."""
     mailbox, log = FakeMailbox(), FakeLog()
-    CrashDesk(mailbox, log, lambda: ['e1', 'e2'])
+    CrashService(mailbox, log, lambda: ['e1', 'e2'])
 
     def report(*targets):
         message = CrashReport(digest='d', targets=list(targets))
--- a/shallotgate/registry/tests/test_lending.py
+++ b/shallotgate/registry/tests/test_lending.py
@@ -4,40 +4,16 @@
 
 from shallotgate.extras import ExtraAllowance, ExtraPool
 from shallotgate.generated.messages import AskExtras, GrantExtras
-from shallotgate.registry import ExtraLending
+from shallotgate.registry import LendingService
+from shallotgate.registry.tests.fakes import FakeLog, FakeMailbox
 from shallotgate.transport import Delivery
 
 
-class FakeMailbox:
-    """Hands messages to the part and keeps what it sends."""
-
-    def __init__(self):
-        self.sent = []
-
-    def subscribe(self, message_type, handler):
-        self.handler = handler
-
-    def send(self, peer, message):
-        self.sent.append((peer, message))
-
-
-class FakeLog:
-    """Log of a member that leads, or does not."""
-
-    leads = False
-
-    def is_leading(self):
-        return self.leads
-
-    def on_leadership(self, callback):
-        self.notify = callback
-
-
 def test_only_a_leader_under_its_lease_lends():
     """Guards against two members that lend at a time."""
     mailbox, log = FakeMailbox(), FakeLog()
     pool = ExtraPool(ExtraAllowance(ratio=0.2, slack=1000, window_s=10))
-    ExtraLending(mailbox, log, pool)
+    LendingService(mailbox, log, pool)
     ask = AskExtras(number=4, services=['s', 't'], counts=[2, 1])
     delivery = Delivery('entry', 'start', 'call', 0, ask)
     refused = ('entry', GrantExtras(number=4, counts=[0, 0]))
