Ask another target while owners change, without waiting for the budget

The refusal of an owner reaches no target, but the next attempt was paid from the budget for retries, a tenth of the attempts sent, of which such an entry has none.

Change: an attempt after a refusal by an owner is not paid for. Targets that are left out for this query are left out before slow and cold ones are.

--- a/shallotgate/query/_driver.py
+++ b/shallotgate/query/_driver.py
@@ -76,11 +76,11 @@
             self.close(shard)
         elif candidate is None:
             self._handle_no_target(shard, route, now)
-        elif shard.sends and not self._parts.retries.try_spend():
-            self._pause(shard, now)
-        else:
+        elif self._extra.may_send(shard):
             self.exchange.usage.retries += bool(shard.sends)
             self._send(shard, candidate, now)
+        else:
+            self._pause(shard, now)
 
     def follow_up(self, shard: Shard, *, is_final: bool) -> None:
         """Go on with a shard whose last attempt has failed."""
--- a/shallotgate/query/_exchange.py
+++ b/shallotgate/query/_exchange.py
@@ -38,6 +38,8 @@
     reason: str = ''
     # Attempts sent for it.
     sends: int = 0
+    # Whether the last one was refused before it reached a target.
+    is_untouched: bool = False
     # Attempts that ended with a lost connection.
     losses: int = 0
     # Monotonic times.
@@ -97,6 +99,7 @@
         self._active[attempt.attempt_id] = sent
         shard.active.append(sent)
         shard.sends += 1
+        shard.is_untouched = False
         shard.reason = ''
         self.usage.sent += 1
         self.usage.may_have_run += 1
--- a/shallotgate/query/_extra.py
+++ b/shallotgate/query/_extra.py
@@ -1,6 +1,6 @@
 """Second attempts next to slow or stalled ones, and their budgets."""
 
-from shallotgate.query._exchange import Sent
+from shallotgate.query._exchange import Sent, Shard
 from shallotgate.query._task import MS_PER_S, QueryParts, Task, Usage
 from shallotgate.routing import Candidate
 
@@ -38,6 +38,14 @@
             return False
         return self._parts.port.is_silent(sent.candidate.owner, sent.sent_at)
 
+    def may_send(self, shard: Shard) -> bool:
+        """Return whether an attempt may be sent; spends a retry if it is one.
+
+        The first is free, and one after a refusal that reached no target.
+        """
+        is_free = not shard.sends or shard.is_untouched
+        return is_free or self._parts.retries.try_spend()
+
     def try_spend(self, is_stalled: bool) -> bool:
         """Take a second attempt from the budgets.
 
--- a/shallotgate/query/_pick.py
+++ b/shallotgate/query/_pick.py
@@ -95,10 +95,10 @@
             return None
         # Unlike for proven content room doesn't count: entries would come to
         # different orders, and more targets would run unproven content.
-        quick = _prefer_quick(self._prefer_other_domains(candidates))
+        others = self._prefer_other_domains(leave_out(candidates, excluded))
         allowed = {
             one.target: one
-            for one in leave_out(quick, excluded)
+            for one in _prefer_quick(others)
             if not (warm_only and one.observation.is_cold())
         }
         ranked = rank_targets(self._digest, allowed)
--- a/shallotgate/query/_run.py
+++ b/shallotgate/query/_run.py
@@ -20,6 +20,9 @@
 _FINAL = frozenset(('failed', 'timeout'))
 # Statuses without a word of the target, after which a replica is tried.
 _LOST = frozenset(('lost', 'cancelled'))
+# Reasons of not_run that owners give, or this instance if it reached none:
+# the target has seen nothing, so that its budget for retries is not touched.
+_UNTOUCHED = frozenset(('not_owner', 'no_lease', 'owner_unreachable'))
 # Reason of a timeout that this instance noted as the owner did not answer; it
 # comes after the longest time of an attempt, which may be long before the
 # deadline of the query.
@@ -193,6 +196,7 @@
         is_final = reply.status in _FINAL and not is_unanswered
         if reply.status == 'not_run':
             is_final = self._is_refused_for_good(reply)
+            shard.is_untouched = reply.reason in _UNTOUCHED
             shard.passed.add(sent.candidate.target)
         else:
             shard.barred.add(sent.candidate.target)
--- a/shallotgate/query/tests/test_fan_out.py
+++ b/shallotgate/query/tests/test_fan_out.py
@@ -89,6 +89,39 @@
     assert len(set(asked)) == len(asked) == 2
 
 
+@pytest.mark.parametrize(
+    ('reason', 'outcome'),
+    [
+        ('not_owner', 'complete'),
+        ('no_lease', 'complete'),
+        ('owner_unreachable', 'complete'),
+        # The target itself was asked, so this is paid for.
+        ('shed', 'refused'),
+    ],
+)
+def test_refusal_of_an_owner_costs_no_retry(reason, outcome):
+    """Guards against queries that wait for the budget of a new entry.
+
+    Owners change while instances restart one after the other. A refusal of
+    an owner reached no target, and an entry that has just started has sent
+    too little to have retries.
+    """
+    tier = Tier(retry_budget=0)
+    refused = set()
+
+    def refuse_once(attempt):
+        if attempt.partition in refused:
+            return reply_ok(attempt)
+        refused.add(attempt.partition)
+        return reply_with('not_run', reason)(attempt)
+
+    for shard in range(3):
+        for target in name_replicas(shard):
+            tier.port.behaviours[target] = refuse_once
+    answer = tier.ask(deadline_ms=300)
+    assert answer.outcome == outcome
+
+
 def test_missing_shard_is_named_with_its_reason():
     """Guards against partial answers that look complete."""
     tier = Tier()
--- a/shallotgate/query/tests/test_screening.py
+++ b/shallotgate/query/tests/test_screening.py
@@ -311,3 +311,19 @@
 
 class FakeExchange:
     exposed: ClassVar[dict[str, str]] = {}
+
+
+def test_cold_targets_screen_while_the_others_refuse():
+    """Guards against new content that waits for an owner that refuses.
+
+    While owners change, targets that have just moved count as cold, and the
+    last one that is not cold may belong to an owner that does not know yet.
+    """
+    tier = Tier(shards=1)
+    quick, *others = tier.places
+    tier.report(quick, latency_ms=5.0)
+    for name in others:
+        tier.report(name, latency_ms=5.0, cold=True)
+    tier.port.behaviours[quick] = reply_with('not_run', 'not_owner')
+    answer = tier.ask(class_name='coverage')
+    assert answer.outcome == 'complete'
