Format log lines with msgspec

Change: the formatter of the same library that encodes with msgspec, which the processes have loaded anyway.

--- a/shallotgate/logs/_json.py
+++ b/shallotgate/logs/_json.py
@@ -5,7 +5,7 @@
 from collections.abc import MutableMapping
 from typing import Any, Protocol
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 _FIELDS = '%(asctime)s %(levelname)s %(message)s'
 
@@ -56,7 +56,7 @@
     """
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             _FIELDS,
             rename_fields={'asctime': 'time', 'levelname': 'level'},
             static_fields={'instance': instance},
