Create decoders under a lock; wait for the stop signal in a test script

Cause: msgspec stores the fields of a dataclass in the class before they are complete. And the script of the runner's test could miss a signal between the interpreter's last check and its one sleep.

Change: decoders are created under a lock, once for each type; conversions create one first. The script blocks the signal and waits for it.

--- a/shallotgate/codec/_tagged.py
+++ b/shallotgate/codec/_tagged.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 import inspect
+import threading
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any, TypeVar
+from typing import Any, TypeVar, cast
 
 import msgspec
 
@@ -26,6 +27,11 @@
 # Decoders by type name, created on first use: creating all of them takes a
 # considerable part of the start-up time.
 _decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
+_json_decoders: dict[Any, msgspec.json.Decoder[Any]] = {}
+# Held while a decoder is created. The library caches the fields of a dataclass
+# in the class before they are complete; a second thread that meets the class
+# in that state crashes the process.
+_creation_lock = threading.Lock()
 _TAGGED_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -60,7 +66,8 @@
     if decoder is None:
         if name not in _TYPES:
             raise CodecError(f'unknown message type {name!r}')
-        decoder = msgspec.msgpack.Decoder(_TYPES[name])
+        with _creation_lock:
+            decoder = msgspec.msgpack.Decoder(_TYPES[name])
         _decoders[name] = decoder
     try:
         return decoder.decode(body)
@@ -68,6 +75,15 @@
         raise CodecError(f'invalid {name}: {error}') from error
 
 
+def _get_json_decoder(expected_type: Any) -> msgspec.json.Decoder[Any]:
+    decoder = _json_decoders.get(expected_type)
+    if decoder is None:
+        with _creation_lock:
+            decoder = msgspec.json.Decoder(expected_type)
+        _json_decoders[expected_type] = decoder
+    return decoder
+
+
 def _convert_mapping(unsupported: object) -> object:
     """Convert a mapping that msgspec can't encode into a dict.
 
@@ -91,8 +107,9 @@
 
 def decode_json(encoded: bytes, expected_type: type[_T]) -> _T:
     """Decode JSON into a type; raises ``CodecError``."""
+    decoder = _get_json_decoder(expected_type)
     try:
-        return msgspec.json.decode(encoded, type=expected_type)
+        return cast(_T, decoder.decode(encoded))
     except msgspec.MsgspecError as error:
         raise CodecError(str(error)) from error
 
@@ -104,6 +121,8 @@
 
 def load_builtins(content: object, expected_type: type[_T]) -> _T:
     """Convert dicts, lists and scalars to a type; raises ``CodecError``."""
+    # Completes the library's cache of the type's fields.
+    _get_json_decoder(expected_type)
     try:
         return msgspec.convert(content, type=expected_type)
     except msgspec.MsgspecError as error:
--- a/testkit/runner/tests/test_runner.py
+++ b/testkit/runner/tests/test_runner.py
@@ -39,11 +39,13 @@
 )
 # An interpreter start can take 10 s on a machine loaded to twice its capacity.
 START_TIMEOUT_S = 90
+# The signal is blocked and waited for: a handler would miss one that comes
+# between the interpreter's last check and the system call of a sleep.
 SCRIPT = """
-import signal, sys, time
-signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+import signal, sys
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
 print('{"message": "Up."}', flush=True)
-time.sleep(60)
+sys.exit(signal.sigtimedwait({signal.SIGTERM}, 60) is None)
 """
 
 
