Limit what a target or a caller may send

Cause: a server in trouble may send bytes without end. A reply ended only at 64 MB of body; its head, interim replies, chunk extensions and trailers had no limit at all, and a single line of a caller's head neither.

Change: limits for head and framing, number of headers, interim and foreign replies, body (by the records that a shard may bring, else a setting), stated length, and all replies of an entry together. Over a limit the connection is closed, the attempt fails and is repeated where it may be, the target counts as failing, and a line names the limit. Bodies are kept in one buffer instead of a list of parts. A target that sends bytes is no longer evidence of a crash. Requests of callers have the same limit on raw bytes.

--- a/shallotgate/aio/__init__.py
+++ b/shallotgate/aio/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 over asyncio: a server for callers and connections to targets."""
 
 from shallotgate.aio._message import Headers, IncomingRequest, Response
+from shallotgate.aio._reply_limits import ReplyBuffer, ReplyLimits
 from shallotgate.aio._server import AsyncHttpServer, Handler, ServerLimits
 from shallotgate.aio._target_connection import Reply, TargetConnection
 
@@ -10,6 +11,8 @@
     'Headers',
     'IncomingRequest',
     'Reply',
+    'ReplyBuffer',
+    'ReplyLimits',
     'Response',
     'ServerLimits',
     'TargetConnection',
--- a/shallotgate/aio/_message.py
+++ b/shallotgate/aio/_message.py
@@ -5,7 +5,9 @@
 
 # Names are as received; order and repetition are kept.
 Headers = list[tuple[bytes, bytes]]
-
+# Bytes of chunk framing that are allowed for each byte of a body: more means
+# chunks of a few bytes, which cost far more to parse than to send.
+MAX_FRAMING_RATIO = 1
 _LINE_END = b'\r\n'
 
 
--- a/shallotgate/aio/_request_parser.py
+++ b/shallotgate/aio/_request_parser.py
@@ -5,7 +5,15 @@
 
 import httptools
 
-from shallotgate.aio._message import Headers, IncomingRequest
+from shallotgate.aio._message import (
+    MAX_FRAMING_RATIO,
+    Headers,
+    IncomingRequest,
+)
+
+# Raw bytes of a head, as a multiple of its limit: names and values count
+# towards the limit, separators and line ends do not.
+_RAW_HEAD_FACTOR = 2
 
 
 class RequestRejectedError(Exception):
@@ -35,21 +43,15 @@
         self.begun_at = float('inf')
         # Time on the way of the next request and its answer, in seconds.
         self.network_s: float = 0
+        # Received bytes since the last request that belong to no body.
+        self._raw_bytes = 0
         self._begin()
 
     def feed(self, received: bytes) -> None:
         """Parse what came; raises ``RequestRejectedError``."""
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserCallbackError as error:
-            if isinstance(error.__context__, RequestRejectedError):
-                raise error.__context__ from error
-            raise RequestRejectedError(400) from error
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise RequestRejectedError(400) from error
+        self._raw_bytes += len(received)
+        self._parse(received)
+        self._check_raw_bytes()
 
     def on_message_begin(self) -> None:
         """Begin another request."""
@@ -74,32 +76,56 @@
 
     def on_body(self, body: bytes) -> None:
         """Take up a part of the body."""
-        self._body.append(body)
+        self._body += body
         self._body_bytes += len(body)
+        self._raw_bytes -= len(body)
         if self._body_bytes > self._read_max_bytes()[1]:
             raise RequestRejectedError(413)
 
     def on_message_complete(self) -> None:
         """Hand on the request."""
         self.begun_at = float('inf')
+        # What follows in the same read is counted from the next one on.
+        self._raw_bytes = 0
         self._on_request(
             IncomingRequest(
                 method=self._parser.get_method(),
                 path=bytes(self._url),
                 headers=self._headers,
-                body=b''.join(self._body),
+                body=bytes(self._body),
                 received_at=time.monotonic(),
                 network_s=self.network_s,
             ),
         )
 
+    def _parse(self, received: bytes) -> None:
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, RequestRejectedError):
+                raise error.__context__ from error
+            raise RequestRejectedError(400) from error
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise RequestRejectedError(400) from error
+
     def _begin(self) -> None:
         self._url = bytearray()
         self._headers: Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
+        # Not a list of parts: one of a byte each would take forty times as
+        # much memory.
+        self._body = bytearray()
         self._body_bytes = 0
 
+    def _check_raw_bytes(self) -> None:
+        """Bound lines, chunk extensions and trailers that do not end."""
+        allowed = self._read_max_bytes()[0] * _RAW_HEAD_FACTOR
+        if self._raw_bytes > allowed + self._body_bytes * MAX_FRAMING_RATIO:
+            raise RequestRejectedError(431)
+
     def _count_header(self, amount: int) -> None:
         self._header_bytes += amount
         if self._header_bytes > self._read_max_bytes()[0]:
--- a/shallotgate/aio/_target_connection.py
+++ b/shallotgate/aio/_target_connection.py
@@ -9,14 +9,15 @@
 import httptools
 
 from shallotgate.aio._message import Headers
+from shallotgate.aio._reply_limits import ReplyLimits, ReplyMeter
 from shallotgate.errors import (
+    ReplyLimitError,
     TargetConnectError,
     TargetLostError,
     TargetProtocolError,
 )
 
-# Largest reply that is kept; a longer one is no valid reply.
-_MAX_REPLY_BYTES = 64 * 1024 * 1024
+_DEFAULT_LIMITS = ReplyLimits()
 # A target closes idle connections itself; one is given up this much earlier,
 # because a request that crosses the close may or may not have run.
 _KEEP_ALIVE_MARGIN_S = 0.5
@@ -47,8 +48,10 @@
         # Tells whether a reply's headers belong to the request.
         self._is_own: Callable[[Headers], bool] | None = None
         self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # Not a list of parts: one of a byte each would take forty times as
+        # much memory.
+        self._body = bytearray()
+        self._meter = ReplyMeter(_DEFAULT_LIMITS)
         self._in_reply = False
         # Whether the headers of the reply under way are complete.
         self._has_headers = False
@@ -90,11 +93,16 @@
         self,
         request: bytes,
         matches_request: Callable[[Headers], bool],
+        limits: ReplyLimits = _DEFAULT_LIMITS,
     ) -> 'asyncio.Future[Reply]':
-        """Send a request; the future fails with a ``TargetError``."""
+        """Send a request; the future fails with a ``TargetError``.
+
+        A target that exceeds the limits is disconnected at once.
+        """
         assert self._transport is not None
         self._waiter = asyncio.get_running_loop().create_future()
         self._is_own = matches_request
+        self._meter = ReplyMeter(limits)
         self._transport.write(request)
         return self._waiter
 
@@ -111,8 +119,11 @@
             # Bytes that belong to no request.
             self.close()
             return
+        self._meter.add_received(len(data))
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
+        except ReplyLimitError as error:
+            self._fail(error)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
@@ -134,9 +145,7 @@
 
     def on_message_begin(self) -> None:
         """Begin a reply."""
-        self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._discard_reply()
         self._in_reply = True
         self._has_headers = False
         self._is_framed = False
@@ -146,6 +155,7 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take up a header."""
+        self._meter.add_header()
         self._headers.append((name, text))
 
     def on_headers_complete(self) -> None:
@@ -156,17 +166,17 @@
             key = name.lower()
             if key in {b'content-length', b'transfer-encoding'}:
                 self._is_framed = True
+                self._meter.check_length(text)
             elif key == b'keep-alive':
-                self._note_keep_alive(text)
+                idle_s = _parse_idle_timeout_s(text)
+                self.keep_alive_until = time.monotonic() + idle_s
             elif key == b'connection' and text.lower() == _CLOSE:
                 self._expects_close = True
 
     def on_body(self, body: bytes) -> None:
         """Take up a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > _MAX_REPLY_BYTES:
-            self._fail(TargetProtocolError('the reply is too long'))
+        self._meter.add_body(len(body))
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Hand the reply to whoever waits for it."""
@@ -174,33 +184,56 @@
             return
         self._in_reply = False
         status = self._parser.get_status_code()
-        if status < 200 or self._waiter is None:
+        if self._waiter is None:
+            return
+        if status < 200:
+            self._meter.add_skipped()
             return
         if self._is_own is not None and not self._is_own(self._headers):
             # A late reply to an earlier request; the own one may follow.
             self.is_usable = False
+            self._meter.add_skipped()
             return
         waiter = self._waiter
         self._waiter = None
         if not waiter.done():
             waiter.set_result(
-                Reply(status, self._headers, b''.join(self._body)),
+                Reply(status, self._headers, bytes(self._body)),
             )
+        self._discard_reply()
         if self._expects_close or not self.is_usable:
             self.close()
 
-    def _note_keep_alive(self, text: bytes) -> None:
-        for part in text.split(b','):
-            key, _, seconds = part.strip().partition(b'=')
-            if key.lower() == b'timeout' and seconds.isdigit():
-                idle_s = max(int(seconds) - _KEEP_ALIVE_MARGIN_S, 0)
-                self.keep_alive_until = time.monotonic() + idle_s
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser; raises ``ReplyLimitError`` or a parser error."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, ReplyLimitError):
+                raise error.__context__ from error
+            raise
+        self._meter.check_head()
+
+    def _discard_reply(self) -> None:
+        self._meter.discard_reply()
+        self._headers = []
+        self._body = bytearray()
 
     def _fail(self, error: Exception) -> None:
         waiter = self._waiter
         self._waiter = None
+        self._discard_reply()
         if waiter is not None and not waiter.done():
             waiter.set_exception(error)
             # Nobody may wait any more.
             waiter.exception()
         self.close()
+
+
+def _parse_idle_timeout_s(text: bytes) -> float:
+    """Return how long an idle connection is kept; infinite if not stated."""
+    for part in text.split(b','):
+        key, _, seconds = part.strip().partition(b'=')
+        if key.lower() == b'timeout' and seconds.isdigit():
+            return max(int(seconds) - _KEEP_ALIVE_MARGIN_S, 0)
+    return float('inf')
--- a/shallotgate/aio/tests/test_server.py
+++ b/shallotgate/aio/tests/test_server.py
@@ -1,6 +1,7 @@
 """Requests of callers over real sockets."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -142,3 +143,41 @@
     answer, _ = play(script)
     assert answer.endswith(b'/a:xy')
     assert b'Connection: close' in answer
+
+
+CHUNKED_POST = b'POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'GET /', b'p' * 1000),
+        (b'GET /1 HTTP/1.1\r\n', b'n' * 1000),
+        (b'GET /1 HTTP/1.1\r\nName: ', b'v' * 1000),
+        (b'GET /1 HTTP/1.1\r\n', b'N: v\r\n' * 100),
+        (CHUNKED_POST + b'1;', b'e' * 1000),
+        (CHUNKED_POST + b'1\r\nb\r\n0\r\n', b'N: v\r\n' * 100),
+        (CHUNKED_POST, b'1\r\nb\r\n' * 100),
+        (b'', b'\r\n' * 100),
+    ],
+)
+def test_endless_request_is_cut_at_its_limit(start, repeated):
+    """Guards against callers that exhaust the memory of an entry."""
+    sent = []
+
+    async def script(reader, writer, server):
+        writer.write(start)
+        # Half of the time that a caller has for its headers.
+        deadline = asyncio.get_running_loop().time() + 0.15
+        with contextlib.suppress(ConnectionError):
+            while asyncio.get_running_loop().time() < deadline:
+                writer.write(repeated)
+                sent.append(len(repeated))
+                await writer.drain()
+                await asyncio.sleep(0)
+                if reader.at_eof():
+                    return
+        assert writer.transport.is_closing()
+
+    play(script)
+    assert sum(sent) < 1024 * 1024
--- a/shallotgate/aio/tests/test_target_connection.py
+++ b/shallotgate/aio/tests/test_target_connection.py
@@ -19,8 +19,15 @@
 
 def exchange(*chunks, requests=1, reset=False):
     """Return the results of requests to a target that writes chunks."""
+    finished = asyncio.Event()
 
     async def answer(reader, writer):
+        try:
+            await write_chunks(reader, writer)
+        finally:
+            finished.set()
+
+    async def write_chunks(reader, writer):
         await reader.read(100)
         for chunk in chunks:
             writer.write(chunk)
@@ -53,6 +60,8 @@
             return reply, connection.is_usable
         finally:
             connection.close()
+            # A writer that outlives the event loop can't close any more.
+            await asyncio.wait_for(finished.wait(), 2)
             server.close()
 
     return asyncio.run(play())
--- a/shallotgate/errors/_tree.py
+++ b/shallotgate/errors/_tree.py
@@ -109,6 +109,10 @@
     """The target sent an invalid reply."""
 
 
+class ReplyLimitError(TargetProtocolError):
+    """A reply exceeds a limit on its size or on its number of parts."""
+
+
 class BaseVersionMismatchError(ShallotgateError):
     """The base version of a difference is not the current version."""
 
--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -5,6 +5,7 @@
 from shallotgate.gateway._fan_out import merge_records
 from shallotgate.gateway._follower import TierFollower
 from shallotgate.gateway._gateway import Gateway
+from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantClient, RetryGrantSource
 from shallotgate.gateway._target_chooser import TargetChooser
@@ -20,6 +21,7 @@
     'ContentBlocklist',
     'Directory',
     'Gateway',
+    'GatewayOptions',
     'ReplyMetadata',
     'RequestReporter',
     'RetryGrantClient',
--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -5,10 +5,17 @@
 from collections.abc import Callable
 
 from shallotgate.aio import Reply, TargetConnection
-from shallotgate.errors import TargetConnectError, TargetError
+from shallotgate.errors import (
+    ReplyLimitError,
+    TargetConnectError,
+    TargetError,
+)
 from shallotgate.gateway._call import Call
 from shallotgate.gateway._directory import Target
 from shallotgate.gateway._wire import ReplyMetadata, WireCodec
+from shallotgate.logs import get_logger
+
+_LOGGER = get_logger('gateway')
 
 # Connect timeout in seconds; a healthy target accepts within milliseconds.
 _CONNECT_TIMEOUT_S = 1.0
@@ -95,6 +102,7 @@
             lambda headers: self._wire.matches_request(
                 headers, call.caller.request_id
             ),
+            call.reply_limits,
         )
 
     def _abort(self) -> None:
@@ -119,10 +127,22 @@
             # Lower bound: the reply would have taken at least this long.
             self._on_reply(self, duration_ms)
         elif isinstance(error, TargetError):
-            self.target.record_failure()
+            self._handle_failure(error)
         if self._connection is not None:
             self.target.pool.release(self._connection, self._idle_timeout_s)
 
+    def _handle_failure(self, error: TargetError) -> None:
+        self.target.record_failure()
+        if isinstance(error, ReplyLimitError):
+            _LOGGER.warning(
+                'Reply aborted: %s.',
+                error,
+                extra={
+                    'target': self.target.listed.target,
+                    'id': self._call.caller.request_id.decode('latin-1'),
+                },
+            )
+
     def _settle_cancelled(self, duration_ms: float) -> None:
         if self._connection is not None:
             self._connection.close()
--- a/shallotgate/gateway/_call.py
+++ b/shallotgate/gateway/_call.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass, field
 
+from shallotgate.aio import ReplyLimits
 from shallotgate.gateway._crashes import CrashEvidence, RequestContent
 from shallotgate.gateway._trace import RequestTrace
 from shallotgate.gateway._wire import CallerRequest
@@ -26,6 +27,7 @@
     deadline: float
     # Latest time to send the answer and still meet the latency objective.
     answer_by: float
+    reply_limits: ReplyLimits = field(default_factory=ReplyLimits)
     trace: RequestTrace = field(default_factory=RequestTrace)
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
 
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -7,7 +7,7 @@
 from typing import Literal
 
 from shallotgate.aio import Reply
-from shallotgate.errors import TargetConnectError
+from shallotgate.errors import TargetConnectError, TargetProtocolError
 from shallotgate.extras import RetryBudget
 from shallotgate.gateway._attempt import Attempt
 from shallotgate.gateway._call import Call
@@ -368,7 +368,8 @@
             if isinstance(error, TargetConnectError):
                 self._runs -= 1
                 self._unsent += 1
-            else:
+            elif not isinstance(error, TargetProtocolError):
+                # A target that sends anything has not crashed.
                 self._call.crashes.lost.append(attempt.target)
             self._call.trace.add('lost', target=target, error=str(error))
             return None
--- a/shallotgate/gateway/_fan_out.py
+++ b/shallotgate/gateway/_fan_out.py
@@ -11,7 +11,7 @@
 from shallotgate.gateway._call import Call
 from shallotgate.gateway._dispatch import Dispatch, Outcome
 
-_RECORD_BYTES = 16
+RECORD_BYTES = 16
 # Hedges are sent only while at most this share of the shards is missing. If
 # more are, the cause is common to them, like the start of this entry or a busy
 # processor, and hedges would waste the budget.
@@ -44,12 +44,12 @@
     True
     """
     records = [
-        body[start : start + _RECORD_BYTES]
+        body[start : start + RECORD_BYTES]
         for body in bodies
         for start in range(
             0,
-            len(body) - _RECORD_BYTES + 1,
-            _RECORD_BYTES,
+            len(body) - RECORD_BYTES + 1,
+            RECORD_BYTES,
         )
     ]
     return b''.join(heapq.nlargest(count, records))
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -2,19 +2,19 @@
 
 import random
 import time
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
-from typing import TypeVar
+from collections.abc import Callable
 
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
-from shallotgate.extras import RetryBudget, RetryBudgetPolicy
+from shallotgate.extras import RetryBudget
+from shallotgate.gateway._active_table import ActiveTable, retain_known
 from shallotgate.gateway._call import Call
 from shallotgate.gateway._crashes import ContentBlocklist, RequestContent
 from shallotgate.gateway._directory import Directory
 from shallotgate.gateway._dispatch import Dispatch, DispatchContext, Outcome
 from shallotgate.gateway._fan_out import DispatchFactory, FanOut, FanOutResult
 from shallotgate.gateway._latency import LatencyWindow
+from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
 from shallotgate.gateway._target_chooser import TargetChooser
@@ -24,14 +24,11 @@
 from shallotgate.logs import get_logger
 from shallotgate.routes import (
     Route,
-    RouteIndex,
     RoutingTable,
     Service,
-    SplitChooser,
 )
 
 _LOGGER = get_logger('gateway')
-_T = TypeVar('_T')
 _MS_PER_S = 1000
 # An answer is sent this long before the caller's timeout, in seconds.
 _ANSWER_MARGIN_S = 0.01
@@ -57,16 +54,6 @@
 _INITIAL_LATENCY_SHARE = 0.25
 
 
-@dataclass(frozen=True)
-class _ActiveTable:
-    """The active routing table and the objects derived from it."""
-
-    table: RoutingTable
-    index: RouteIndex
-    services: dict[str, Service]
-    splits: dict[str, SplitChooser]
-
-
 class Gateway:
     """Routes requests to targets and answers callers."""
 
@@ -74,8 +61,7 @@
         self,
         wire: WireCodec,
         directory: Directory,
-        domain: str,
-        retry_budget_policy: RetryBudgetPolicy,
+        options: GatewayOptions,
         generator: random.Random,
         reporter: RequestReporter,
         retry_grants: RetryGrantSource,
@@ -83,14 +69,13 @@
     ) -> None:
         self._wire = wire
         self._directory = directory
-        self._domain = domain
-        self._retry_budget_policy = retry_budget_policy
+        self._options = options
         self._generator = generator
         self._reporter = reporter
         self._retry_grants = retry_grants
         self._blocklist = blocklist
-        self._chooser = TargetChooser(domain, generator)
-        self._active: _ActiveTable | None = None
+        self._chooser = TargetChooser(options.domain, generator)
+        self._active: ActiveTable | None = None
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyWindow] = {}
         self._entries = 1
@@ -129,17 +114,12 @@
         """Activate a table if it is newer than the active one."""
         if table.version <= self.version:
             return
-        services = {service.name: service for service in table.services}
-        splits = {
-            route.name: SplitChooser(route, self._generator.random())
-            for route in table.routes
-            if len(route.choices) > 1
-        }
-        self._active = _ActiveTable(table, RouteIndex(table), services, splits)
+        self._active = ActiveTable.create(table, self._generator)
+        services = self._active.services
         self._contexts.clear()
         names = {route.name for route in table.routes}
-        self._budgets = _retain_known(self._budgets, services)
-        self._latencies = _retain_known(self._latencies, names)
+        self._budgets = retain_known(self._budgets, services)
+        self._latencies = retain_known(self._latencies, names)
         _LOGGER.info(
             'Routing table activated.',
             extra={
@@ -205,6 +185,7 @@
             deadline=request.received_at
             + timeout_ms / _MS_PER_S
             - _ANSWER_MARGIN_S,
+            reply_limits=self._options.make_reply_limits(route),
             trace=RequestTrace(len(route.shards)),
             answer_by=request.received_at
             + objective_s
@@ -212,7 +193,7 @@
             - processing_s,
         )
 
-    async def _serve(self, call: Call, active: _ActiveTable) -> Response:
+    async def _serve(self, call: Call, active: ActiveTable) -> Response:
         blocked_s = self._blocklist.get_remaining_s(call.content)
         if blocked_s:
             call.trace.add('barred', left_s=blocked_s)
@@ -230,7 +211,7 @@
     def _make_dispatch_factory(
         self,
         call: Call,
-        active: _ActiveTable,
+        active: ActiveTable,
     ) -> DispatchFactory:
         now = time.monotonic()
 
@@ -258,7 +239,7 @@
                 budget=self._get_budget(service.name),
                 retry_grants=self._retry_grants,
                 latency=self._get_latency(route),
-                domain=self._domain,
+                domain=self._options.domain,
                 max_connections=max(int(connections), 1),
                 are_connections_scarce=connections < 1,
                 warm_up=WarmUpLimiter(
@@ -274,7 +255,7 @@
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._retry_budget_policy)
+            budget = RetryBudget(self._options.retry_budget_policy)
             self._budgets[service] = budget
         return budget
 
@@ -318,12 +299,5 @@
         return self._wire.refuse(503, retry_after_s)
 
 
-def _retain_known(
-    current: dict[str, _T], known: Collection[str]
-) -> dict[str, _T]:
-    """Return the entries whose route or service still exists."""
-    return {name: item for name, item in current.items() if name in known}
-
-
 def _always() -> bool:
     return True
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -8,6 +8,8 @@
 from shallotgate.aio import (
     AsyncHttpServer,
     IncomingRequest,
+    ReplyBuffer,
+    ReplyLimits,
     Response,
 )
 from shallotgate.errors import ShallotgateError
@@ -15,6 +17,7 @@
     ContentBlocklist,
     Directory,
     Gateway,
+    GatewayOptions,
     RequestReporter,
     RetryGrantClient,
     TierFollower,
@@ -79,8 +82,7 @@
         self._gateway = Gateway(
             wire=wire,
             directory=self._directory,
-            domain=settings.domain,
-            retry_budget_policy=get_retry_budget_policy(settings),
+            options=_make_gateway_options(settings),
             generator=random.Random(),  # noqa: S311 - no secret
             reporter=RequestReporter(self._metrics),
             retry_grants=self._retry_grants,
@@ -218,3 +220,15 @@
         self._directory.apply_conditions(update.conditions)
         if table is not None:
             self._gateway.activate_table(table)
+
+
+def _make_gateway_options(settings: NodeSettings) -> GatewayOptions:
+    return GatewayOptions(
+        domain=settings.domain,
+        retry_budget_policy=get_retry_budget_policy(settings),
+        reply_limits=ReplyLimits(
+            max_body_bytes=settings.max_reply_bytes,
+            max_head_bytes=settings.max_reply_head_bytes,
+            buffer=ReplyBuffer(settings.max_buffered_reply_bytes),
+        ),
+    )
--- a/shallotgate/node/_settings.py
+++ b/shallotgate/node/_settings.py
@@ -1,7 +1,8 @@
 """Settings of a process, read from YAML."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -10,6 +11,15 @@
 from shallotgate.extras import RetryBudgetPolicy
 from shallotgate.generated.node import NodeSettings
 
+# Smallest accepted values, as stated in the schema.
+_MINIMUMS: Mapping[str, int] = MappingProxyType(
+    {
+        'max_reply_bytes': 1,
+        'max_reply_head_bytes': 1024,
+        'max_buffered_reply_bytes': 1,
+    }
+)
+
 
 def load_node_settings(path: Path) -> NodeSettings:
     """Read and check settings; raises ``SettingsError``."""
@@ -18,9 +28,17 @@
     except OSError as error:
         raise SettingsError([Finding(str(path), '', str(error))]) from error
     try:
-        return msgspec.convert(_parse(text), type=NodeSettings)
+        settings = msgspec.convert(_parse(text), type=NodeSettings)
     except msgspec.MsgspecError as error:
         raise SettingsError([Finding(str(path), '', str(error))]) from error
+    findings = [
+        Finding(str(path), key, f'must be at least {minimum}')
+        for key, minimum in _MINIMUMS.items()
+        if getattr(settings, key) < minimum
+    ]
+    if findings:
+        raise SettingsError(findings)
+    return settings
 
 
 def list_seeds(settings: NodeSettings) -> Sequence[str]:
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -4,12 +4,13 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from shallotgate.aio import IncomingRequest, Response
+from shallotgate.aio import IncomingRequest, ReplyLimits, Response
 from shallotgate.extras import RetryBudgetPolicy, RetryGrantPool
 from shallotgate.gateway import (
     ContentBlocklist,
     Directory,
     Gateway,
+    GatewayOptions,
     RequestReporter,
     RetryGrantClient,
 )
@@ -76,8 +77,7 @@
         self.gateway = Gateway(
             wire=PlainWire(),
             directory=self.directory,
-            domain=domain,
-            retry_budget_policy=allowance,
+            options=GatewayOptions(domain, allowance, ReplyLimits()),
             generator=random.Random(seed),  # noqa: S311 - no secret
             reporter=RequestReporter(Metrics()),
             retry_grants=self._retry_grants,
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from shallotgate.aio import Headers, Reply
+from shallotgate.aio import Headers, Reply, ReplyLimits
 from shallotgate.errors import TargetConnectError, TargetLostError
 
 _RECORD = b'%016d'
@@ -98,6 +98,7 @@
         self,
         request: bytes,
         matches_request: Callable[[Headers], bool],
+        limits: ReplyLimits,
     ) -> 'asyncio.Future[Reply]':
         """Start processing a request at the target."""
         self._task = asyncio.ensure_future(self._target.work(request))
