End every request of a planned stop with an answer

Cause: an entry that stops took requests until 3.3 s after the signal whatever time they need, and closed what was unfinished at 5.5 s without an answer, among it requests that may not be repeated. A connection whose request was read but not yet handled counted as idle and was closed; pipelined requests behind the first one were dropped.

What is taken gets the end of the stop as its deadline, so that a gathered answer goes out with the parts at hand; what ran before the signal is answered 504 at the end. Requests that were read are answered before the connection closes. The gateway's call, contexts and drain are modules of their own.

--- a/shallotgate/aio/_server.py
+++ b/shallotgate/aio/_server.py
@@ -23,6 +23,8 @@
 # sends more at once is not read from.
 _MAX_PIPELINED = 16
 _MS_PER_S = 1000
+# Interval between two looks for connections that have become idle.
+_DRAIN_POLL_S = 0.02
 
 Handler = Callable[[IncomingRequest], Awaitable[Response]]
 
@@ -52,14 +54,23 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._round_trip_s: float = 0
-        self.is_busy = False
+        # Request that is being handled.
+        self._current: IncomingRequest | None = None
         # Monotonic time since which the connection has been without request.
         self._idle_since = time.monotonic()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being handled."""
+        return self._current is not None
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way, not even a part of one."""
-        return not self.is_busy and self._reader.begun_at == float('inf')
+        is_waiting = bool(self._requests)
+        return not (
+            self.is_busy or is_waiting
+        ) and self._reader.begun_at == float('inf')
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task of the connection."""
@@ -126,10 +137,10 @@
         while True:
             await self._arrived.wait()
             while self._requests:
-                self.is_busy = True
-                request = self._requests.popleft()
-                self._write(request, await self._answer(request))
-                self.is_busy = False
+                self._current = self._requests.popleft()
+                answer = await self._answer(self._current)
+                self._write(self._current, answer)
+                self._current = None
             self._arrived.clear()
             self._idle_since = time.monotonic()
             if self._transport is not None:
@@ -150,7 +161,9 @@
             return
         connection = request.read_header(b'connection') or b''
         wants_close = connection.lower() == b'close'
-        keep_open = not (self._server.is_closing or wants_close)
+        # Requests that were read already are still answered.
+        is_last = self._server.is_closing and not self._requests
+        keep_open = not (is_last or wants_close)
         has_body = request.method != b'HEAD'
         transport.write(response.encode(keep_open=keep_open, has_body=has_body))
         if not keep_open:
@@ -211,6 +224,16 @@
         """Connections with a request that is not answered yet."""
         return sum(connection.is_busy for connection in self.connections)
 
+    async def drain(self, until: float) -> None:
+        """Wait until all requests are answered, or until a monotonic time.
+
+        Connections are closed once they are idle.
+        """
+        self.close_idle()
+        while self.connections and time.monotonic() < until:
+            await asyncio.sleep(_DRAIN_POLL_S)
+            self.close_idle()
+
     async def stop(self) -> None:
         """Close everything."""
         self.close_idle()
--- a/shallotgate/aio/tests/test_server.py
+++ b/shallotgate/aio/tests/test_server.py
@@ -145,6 +145,39 @@
     assert b'Connection: close' in answer
 
 
+def test_closing_server_answers_all_that_it_has_read():
+    """Guards against pipelined requests that a planned stop drops."""
+
+    async def script(reader, writer, server):
+        server.disable_keep_alive()
+        writer.write(
+            b'GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n'
+            b'GET /3 HTTP/1.1\r\n\r\n',
+        )
+        return await asyncio.wait_for(reader.read(), 3)
+
+    answer, _ = play(script)
+    assert [part[:2] for part in answer.split(b'\r\n\r\n')[1:]] == [
+        b'/1',
+        b'/2',
+        b'/3',
+    ]
+    assert answer.count(b'Connection: close') == 1
+
+
+def test_request_that_was_just_read_is_not_idle():
+    """Guards against closing a connection between read and handling."""
+
+    async def script(reader, writer, server):
+        await asyncio.sleep(0.05)
+        (connection,) = server.connections
+        connection.data_received(b'GET /now HTTP/1.1\r\n\r\n')
+        server.close_idle()
+        return await asyncio.wait_for(reader.read(), 3)
+
+    assert play(script)[0].endswith(b'/now:')
+
+
 CHUNKED_POST = b'POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
--- a/shallotgate/gateway/_call.py
+++ b/shallotgate/gateway/_call.py
@@ -3,13 +3,25 @@
 import time
 from dataclasses import dataclass, field
 
-from shallotgate.aio import ReplyLimits
+from shallotgate.aio import IncomingRequest, ReplyLimits
 from shallotgate.gateway._crashes import CrashEvidence, RequestContent
+from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._trace import RequestTrace
 from shallotgate.gateway._wire import CallerRequest
 from shallotgate.routes import Route
 
 _MS_PER_S = 1000
+# An answer is sent this long before the caller's timeout, in seconds.
+_ANSWER_MARGIN_S = 0.01
+# Part of the latency objective, and times in seconds, reserved for the
+# processing of this entry at the end: merging, scheduling delays and, for each
+# shard, assembling and sending its signature.
+_PROCESSING_SHARE = 0.05
+_PROCESSING_S = 0.002
+_PROCESSING_PER_SHARD_S = 0.00006
+# Part of the objective reserved for the network if the round-trip time is
+# unknown.
+_NETWORK_SHARE = 0.1
 
 
 @dataclass(frozen=True, eq=False)
@@ -38,3 +50,40 @@
     def remaining_ms(self) -> int:
         """Return the whole milliseconds until the deadline, at least one."""
         return max(int(self.remaining_s() * _MS_PER_S), 1)
+
+
+def make_call(
+    request: IncomingRequest,
+    caller: CallerRequest,
+    route: Route,
+    version: int,
+    options: GatewayOptions,
+) -> Call:
+    """Return the context of a request; ``version`` is that of the table."""
+    timeout_ms: float = route.timeout_ms
+    if caller.timeout_ms is not None:
+        timeout_ms = min(timeout_ms, caller.timeout_ms)
+    objective_s = route.objective_ms / _MS_PER_S
+    network_s = request.network_s or objective_s * _NETWORK_SHARE
+    processing_s = (
+        objective_s * _PROCESSING_SHARE
+        + _PROCESSING_S
+        + len(route.shards) * _PROCESSING_PER_SHARD_S
+    )
+    received_at = request.received_at
+    return Call(
+        caller=caller,
+        content=RequestContent(
+            request.method,
+            caller.host,
+            request.path,
+            request.body,
+        ),
+        route=route,
+        version=version,
+        received_at=received_at,
+        deadline=received_at + timeout_ms / _MS_PER_S - _ANSWER_MARGIN_S,
+        answer_by=received_at + objective_s - network_s - processing_s,
+        reply_limits=options.make_reply_limits(route),
+        trace=RequestTrace(len(route.shards)),
+    )
--- a/shallotgate/gateway/_fan_out.py
+++ b/shallotgate/gateway/_fan_out.py
@@ -10,8 +10,8 @@
 
 from shallotgate.gateway._call import Call
 from shallotgate.gateway._dispatch import Dispatch, Outcome
+from shallotgate.gateway._options import RECORD_BYTES
 
-RECORD_BYTES = 16
 # Hedges are sent only while at most this share of the shards is missing. If
 # more are, the cause is common to them, like the start of this entry or a busy
 # processor, and hedges would waste the budget.
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -6,52 +6,28 @@
 
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
-from shallotgate.extras import RetryBudget
-from shallotgate.gateway._active_table import ActiveTable, retain_known
-from shallotgate.gateway._call import Call
-from shallotgate.gateway._crashes import ContentBlocklist, RequestContent
+from shallotgate.gateway._active_table import ActiveTable
+from shallotgate.gateway._call import Call, make_call
+from shallotgate.gateway._crashes import ContentBlocklist
 from shallotgate.gateway._directory import Directory
-from shallotgate.gateway._dispatch import Dispatch, DispatchContext, Outcome
+from shallotgate.gateway._dispatch import Dispatch, Outcome
+from shallotgate.gateway._dispatch_contexts import DispatchContextCache
+from shallotgate.gateway._drain import Drain
 from shallotgate.gateway._fan_out import DispatchFactory, FanOut, FanOutResult
-from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
-from shallotgate.gateway._target_chooser import TargetChooser
-from shallotgate.gateway._trace import RequestTrace
-from shallotgate.gateway._warm_up import WarmUpLimiter
-from shallotgate.gateway._wire import CallerRequest, WireCodec
+from shallotgate.gateway._wire import WireCodec
 from shallotgate.logs import get_logger
-from shallotgate.routes import (
-    Route,
-    RoutingTable,
-    Service,
-)
+from shallotgate.routes import RoutingTable
 
 _LOGGER = get_logger('gateway')
-_MS_PER_S = 1000
-# An answer is sent this long before the caller's timeout, in seconds.
-_ANSWER_MARGIN_S = 0.01
-# Part of the latency objective, and times in seconds, reserved for the
-# processing of this entry at the end: merging, scheduling delays and, for each
-# shard, assembling and sending its signature.
-_PROCESSING_SHARE = 0.05
-_PROCESSING_S = 0.002
-_PROCESSING_PER_SHARD_S = 0.00006
-# Part of the objective reserved for the network if the round-trip time is
-# unknown.
-_NETWORK_SHARE = 0.1
 # Range of the retry delay sent with a refusal, in seconds, randomised to avoid
 # synchronised retries. Backends accept new work within tens of milliseconds; an
 # entry without configuration needs longer.
 _RETRY_MIN_S = 0.02
 _RETRY_MAX_S = 0.1
 _RETRY_UNCONFIGURED_S = 0.5
-# Part of a target's connection limit that all entries together use.
-_CONNECTIONS_SHARE = 0.8
-# Initial estimate of the reply duration, as a share of the objective. The first
-# replies of an entry also include connection setup.
-_INITIAL_LATENCY_SHARE = 0.25
 
 
 class Gateway:
@@ -68,19 +44,15 @@
         blocklist: ContentBlocklist,
     ) -> None:
         self._wire = wire
-        self._directory = directory
         self._options = options
         self._generator = generator
         self._reporter = reporter
-        self._retry_grants = retry_grants
         self._blocklist = blocklist
-        self._chooser = TargetChooser(options.domain, generator)
         self._active: ActiveTable | None = None
-        self._budgets: dict[str, RetryBudget] = {}
-        self._latencies: dict[str, LatencyWindow] = {}
-        self._entries = 1
-        # Dispatch contexts by route and service, created on first use.
-        self._contexts: dict[tuple[str, str], DispatchContext] = {}
+        self._contexts = DispatchContextCache(
+            wire, directory, options, generator, reporter, retry_grants
+        )
+        self._drain = Drain()
 
     @property
     def version(self) -> int:
@@ -90,13 +62,11 @@
     @property
     def entries(self) -> int:
         """Number of entries that share the limits of the targets."""
-        return self._entries
+        return self._contexts.entries
 
     @entries.setter
     def entries(self, count: int) -> None:
-        if count != self._entries:
-            self._entries = count
-            self._contexts.clear()
+        self._contexts.update_entries(count)
 
     def get_limits(self) -> ServerLimits:
         """Return the size and time limits for caller requests."""
@@ -110,22 +80,25 @@
             limits.idle_timeout_ms,
         )
 
+    def begin_drain(self, ends_at: float) -> None:
+        """Refuse what can't end before a monotonic time, and end the rest then.
+
+        Requests that are ended get an answer that tells nothing of a run.
+        """
+        self._drain.begin(ends_at)
+
     def activate_table(self, table: RoutingTable) -> None:
         """Activate a table if it is newer than the active one."""
         if table.version <= self.version:
             return
         self._active = ActiveTable.create(table, self._generator)
-        services = self._active.services
-        self._contexts.clear()
-        names = {route.name for route in table.routes}
-        self._budgets = retain_known(self._budgets, services)
-        self._latencies = retain_known(self._latencies, names)
+        self._contexts.apply_table(table)
         _LOGGER.info(
             'Routing table activated.',
             extra={
                 'version': table.version,
                 'routes': len(table.routes),
-                'services': len(services),
+                'services': len(table.services),
             },
         )
 
@@ -145,53 +118,31 @@
         if route is None:
             self._reporter.count('no_route')
             return self._wire.refuse(404, None)
-        call = self._make_call(request, caller, route)
+        call = make_call(request, caller, route, self.version, self._options)
         try:
             with self._reporter.observe(call) as observation:
-                response = await self._serve(call, active)
+                response = await self._serve_until_drained(call, active)
                 observation.conclude(response.status)
         finally:
             # Runs also when the caller has disconnected.
             self._blocklist.report_crashes(call.content, call.crashes)
         return response
 
-    def _make_call(
-        self,
-        request: IncomingRequest,
-        caller: CallerRequest,
-        route: Route,
-    ) -> Call:
-        timeout_ms: float = route.timeout_ms
-        if caller.timeout_ms is not None:
-            timeout_ms = min(timeout_ms, caller.timeout_ms)
-        objective_s = route.objective_ms / _MS_PER_S
-        network_s = request.network_s or objective_s * _NETWORK_SHARE
-        processing_s = (
-            objective_s * _PROCESSING_SHARE
-            + _PROCESSING_S
-            + len(route.shards) * _PROCESSING_PER_SHARD_S
-        )
-        return Call(
-            caller=caller,
-            content=RequestContent(
-                request.method,
-                caller.host,
-                request.path,
-                request.body,
-            ),
-            route=route,
-            version=self.version,
-            received_at=request.received_at,
-            deadline=request.received_at
-            + timeout_ms / _MS_PER_S
-            - _ANSWER_MARGIN_S,
-            reply_limits=self._options.make_reply_limits(route),
-            trace=RequestTrace(len(route.shards)),
-            answer_by=request.received_at
-            + objective_s
-            - network_s
-            - processing_s,
-        )
+    async def _serve_until_drained(
+        self, call: Call, active: ActiveTable
+    ) -> Response:
+        latency = self._contexts.get_latency(call.route)
+        if not self._drain.can_finish(latency, call.deadline):
+            call.trace.add('refused_draining')
+            self._reporter.count('refused_draining')
+            return self._refuse()
+        try:
+            async with self._drain.limit():
+                return await self._serve(self._drain.shorten(call), active)
+        except TimeoutError:
+            call.trace.add('ended_by_drain')
+            self._reporter.count('ended_by_drain')
+            return self._wire.refuse(504, None)
 
     async def _serve(self, call: Call, active: ActiveTable) -> Response:
         blocked_s = self._blocklist.get_remaining_s(call.content)
@@ -219,53 +170,12 @@
             name: str,
             may_hedge: Callable[[], bool],
         ) -> Dispatch:
-            context = self._get_context(call.route, active.services[name])
-            context.budget.record_request(now, self._entries)
+            context = self._contexts.get(call.route, active.services[name])
+            context.budget.record_request(now, self.entries)
             return Dispatch(context, call, name, may_hedge)
 
         return make_dispatch
 
-    def _get_context(self, route: Route, service: Service) -> DispatchContext:
-        key = (route.name, service.name)
-        context = self._contexts.get(key)
-        if context is None:
-            connections = (
-                service.max_connections * _CONNECTIONS_SHARE / self._entries
-            )
-            context = DispatchContext(
-                wire=self._wire,
-                directory=self._directory,
-                chooser=self._chooser,
-                budget=self._get_budget(service.name),
-                retry_grants=self._retry_grants,
-                latency=self._get_latency(route),
-                domain=self._options.domain,
-                max_connections=max(int(connections), 1),
-                are_connections_scarce=connections < 1,
-                warm_up=WarmUpLimiter(
-                    service.warm_up_per_s,
-                    self._entries,
-                    self._generator,
-                ),
-                on_event=self._reporter.count,
-            )
-            self._contexts[key] = context
-        return context
-
-    def _get_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(self._options.retry_budget_policy)
-            self._budgets[service] = budget
-        return budget
-
-    def _get_latency(self, route: Route) -> LatencyWindow:
-        latency = self._latencies.get(route.name)
-        if latency is None:
-            latency = LatencyWindow(route.objective_ms * _INITIAL_LATENCY_SHARE)
-            self._latencies[route.name] = latency
-        return latency
-
     def _answer_gathered(
         self, call: Call, fan_out_result: FanOutResult
     ) -> Response:
@@ -280,7 +190,7 @@
                 fan_out_result.body,
             )
         if fan_out_result.status == 'not_run':
-            return self._refuse_temporarily()
+            return self._refuse()
         return self._wire.refuse(
             504 if fan_out_result.status == 'late' else 502, None
         )
@@ -289,11 +199,11 @@
         if outcome.reply is not None:
             return self._wire.forward_reply(outcome.reply)
         if outcome.status == 'not_run':
-            return self._refuse_temporarily()
+            return self._refuse()
         is_late = time.monotonic() >= call.deadline
         return self._wire.refuse(504 if is_late else 502, None)
 
-    def _refuse_temporarily(self) -> Response:
+    def _refuse(self) -> Response:
         self._reporter.count('refused')
         retry_after_s = self._generator.uniform(_RETRY_MIN_S, _RETRY_MAX_S)
         return self._wire.refuse(503, retry_after_s)
--- a/shallotgate/gateway/_options.py
+++ b/shallotgate/gateway/_options.py
@@ -4,9 +4,10 @@
 
 from shallotgate.aio import ReplyLimits
 from shallotgate.extras import RetryBudgetPolicy
-from shallotgate.gateway._fan_out import RECORD_BYTES
 from shallotgate.routes import Route
 
+# Size of a record in the replies of shards.
+RECORD_BYTES = 16
 # Limit on the reply of a shard, as a multiple of the records that the answer
 # holds: a target may send more of them than are asked for.
 _PART_SIZE_FACTOR = 64
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -46,10 +46,11 @@
 # Share of the stop time during which callers are still accepted, because the
 # balancer takes a while to notice that the entry is leaving.
 _DRAIN_SHARE = 0.55
-# Share of the stop time after which open requests are aborted, so that the
-# process exits by itself.
-_ABORT_SHARE = 0.92
-_POLL_INTERVAL_S = 0.02
+# Share of the stop time after which unfinished requests get an answer of the
+# entry's own, so that the process exits by itself.
+_END_SHARE = 0.92
+# Share of the stop time for sending the last answers.
+_SEND_SHARE = 0.04
 # Minimum interval between reports of slow and failing targets, about the
 # publication interval of the leader.
 _REPORT_INTERVAL_S = 0.15
@@ -130,14 +131,12 @@
         """Signal unreadiness, drain open requests, then stop."""
         started_at = time.monotonic()
         stop_s = self._settings.stop_s
+        ends_at = started_at + stop_s * _END_SHARE
         self._is_leaving = True
+        self._gateway.begin_drain(ends_at)
         self._server.disable_keep_alive()
         await asyncio.sleep(stop_s * _DRAIN_SHARE)
-        self._server.close_idle()
-        abort_at = started_at + stop_s * _ABORT_SHARE
-        while self._server.connections and time.monotonic() < abort_at:
-            await asyncio.sleep(_POLL_INTERVAL_S)
-            self._server.close_idle()
+        await self._server.drain(ends_at + stop_s * _SEND_SHARE)
         self._follower.stop()
 
     def get_unready_reason(self) -> str:
