Suspend a control member while its disk refuses writes

Cause: a member whose disk is full ended at its first write, was started, failed at its next vote and ended again, as long as the disk stayed full.

Change: after a failed write or sync the member steps down, votes for nobody, acknowledges nothing and forwards what callers ask to the leader it knows. It writes a probe every 0.5 s and ends once that succeeds, so that a new process verifies the files.

--- a/shallotgate/consensus/__init__.py
+++ b/shallotgate/consensus/__init__.py
@@ -1,5 +1,6 @@
 """Raft-style replicated log of the control group."""
 
+from shallotgate.consensus._disk_guard import SYNC_FAILED_EXIT_STATUS
 from shallotgate.consensus._notifier import LeadershipCallback
 from shallotgate.consensus._options import ConsensusOptions
 from shallotgate.consensus._replicated_log import ReplicatedLog
@@ -10,7 +11,6 @@
     MemberStatus,
     Role,
 )
-from shallotgate.consensus._worker import SYNC_FAILED_EXIT_STATUS
 
 __all__ = (
     'SYNC_FAILED_EXIT_STATUS',
--- a/shallotgate/consensus/_applier.py
+++ b/shallotgate/consensus/_applier.py
@@ -1,13 +1,17 @@
 """Thread that applies committed records to the state machine."""
 
 import threading
+from functools import partial
 
 from shallotgate.consensus._group import encode_group
 from shallotgate.consensus._leadership import Proposal
 from shallotgate.consensus._member_state import MemberState
 from shallotgate.consensus._state_machine import StateMachine
-from shallotgate.consensus._worker import exit_on_failed_sync
-from shallotgate.errors import CommitUnknownError, NotLeaderError
+from shallotgate.errors import (
+    CommitUnknownError,
+    NotLeaderError,
+    SyncFailedError,
+)
 from shallotgate.generated.messages import LogRecord
 from shallotgate.invariants import check
 from shallotgate.logs import get_logger
@@ -188,8 +192,12 @@
         self._snapshot_thread.start()
 
     def _store_snapshot(self, snapshot: Snapshot) -> None:
-        with exit_on_failed_sync():
+        try:
             self._state.folder.stage_snapshot(snapshot)
+        except SyncFailedError as error:
+            # The worker suspends the member.
+            self._state.worker.post(partial(_raise_error, error))
+            return
         self._state.worker.post(lambda: self._adopt_snapshot(snapshot))
 
     def _adopt_snapshot(self, snapshot: Snapshot) -> None:
@@ -197,3 +205,7 @@
             self._state.adopt_snapshot(snapshot)
         finally:
             self._snapshot_thread = None
+
+
+def _raise_error(error: Exception) -> None:
+    raise error
--- a/shallotgate/consensus/_member_state.py
+++ b/shallotgate/consensus/_member_state.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from shallotgate.consensus._disk_guard import DiskGuard
 from shallotgate.consensus._journal import Journal
 from shallotgate.consensus._leadership import Leadership, Proposal
 from shallotgate.consensus._notifier import LeadershipNotifier
@@ -41,7 +42,7 @@
         self.folder = folder
         self.journal = Journal(folder)
         self.vote_state = VoteState(folder)
-        self.worker = Worker()
+        self.worker = Worker(DiskGuard(folder, self.step_down))
         self.changed = threading.Condition()
         self.leader: str | None = None
         self.leadership: Leadership | None = None
--- a/shallotgate/consensus/_replicated_log.py
+++ b/shallotgate/consensus/_replicated_log.py
@@ -16,7 +16,6 @@
 from shallotgate.consensus._state_machine import StateMachine
 from shallotgate.consensus._status import DamageReport, GroupStatus
 from shallotgate.consensus._status_reader import StatusReader
-from shallotgate.consensus._worker import exit_on_failed_sync
 from shallotgate.errors import DamagedFileError
 from shallotgate.generated.settings import Member
 from shallotgate.logs import get_logger
@@ -78,8 +77,9 @@
         A member with a damaged file does not join; ``status`` reports the
         damage. Raises ``StorageError`` if another process uses the folder.
         """
+        snapshot = None
         try:
-            with exit_on_failed_sync():
+            with self._state.worker.guard.watch():
                 snapshot = self._state.load()
         except DamagedFileError as error:
             _LOGGER.exception(
@@ -91,6 +91,9 @@
                 str(error),
             )
             return
+        if snapshot is None:
+            # The disk took no writes until the member was stopped.
+            return
         self._applier.start(snapshot)
         self._state.notifier.start()
         self._state.worker.start()
@@ -103,6 +106,7 @@
     def stop(self) -> None:
         """Leave the group in an orderly way and close the files."""
         state = self._state
+        state.worker.guard.stop()
         leadership = state.leadership
         if self._ticks is not None:
             self._ticks.cancel()
@@ -166,6 +170,10 @@
         """
         self._state.notifier.subscribe(callback)
 
+    def is_suspended(self) -> bool:
+        """Return whether the disk of this member takes no writes."""
+        return self._state.worker.guard.is_suspended
+
     def status(self) -> GroupStatus:
         """Return the status of the group as seen by this member."""
         return self._status_reader.read()
--- a/shallotgate/consensus/_status.py
+++ b/shallotgate/consensus/_status.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 from typing import Literal
 
-Role = Literal['leader', 'follower', 'candidate', 'learner', 'damaged']
+Role = Literal[
+    'leader',
+    'follower',
+    'candidate',
+    'learner',
+    'damaged',
+    'suspended',
+]
 
 
 @dataclass(frozen=True)
--- a/shallotgate/consensus/_status_reader.py
+++ b/shallotgate/consensus/_status_reader.py
@@ -42,6 +42,8 @@
     def _read_role(self) -> Role:
         if self.damage is not None:
             return 'damaged'
+        if self._state.worker.guard.is_suspended:
+            return 'suspended'
         if self._state.leadership is not None:
             return 'leader'
         if not self._state.is_voter:
--- a/shallotgate/consensus/_worker.py
+++ b/shallotgate/consensus/_worker.py
@@ -1,43 +1,26 @@
 """Thread that modifies the durable state of a member."""
 
-import os
 import queue
 import threading
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from functools import partial
 
+from shallotgate.consensus._disk_guard import DiskGuard
 from shallotgate.errors import SyncFailedError
 from shallotgate.logs import get_logger
 from shallotgate.transport import Handler, Mailbox
 
 _LOGGER = get_logger('consensus')
-# Exit status of a process after a failed sync; EX_IOERR of sysexits.h.
-SYNC_FAILED_EXIT_STATUS = 74
 _THREAD_JOIN_TIMEOUT_S = 5
 
 Event = Callable[[], None]
 
 
-@contextmanager
-def exit_on_failed_sync() -> Iterator[None]:
-    """Exit the process if a sync fails within the block.
-
-    After a failed sync, the kernel may have dropped the dirty pages, and a
-    second sync would report success.
-    """
-    try:
-        yield
-    except SyncFailedError:
-        _LOGGER.exception('A sync to disk failed; the process exits.')
-        # sys.exit would only end this thread.
-        os._exit(SYNC_FAILED_EXIT_STATUS)
-
-
 class Worker:
     """Runs queued events sequentially on a dedicated thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, guard: DiskGuard) -> None:
+        self.guard = guard
         self._events: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
         self._is_running = False
         self._thread = threading.Thread(
@@ -60,8 +43,11 @@
         self._thread.join(_THREAD_JOIN_TIMEOUT_S)
 
     def post(self, event: Event) -> None:
-        """Queue an event; it is dropped if the worker is not running."""
-        if self._is_running:
+        """Queue an event.
+
+        It is dropped if the worker is not running or the disk takes no writes.
+        """
+        if self._is_running and not self.guard.is_suspended:
             self._events.put(event)
 
     def subscribe(
@@ -81,8 +67,10 @@
             event = self._events.get()
             if event is None:
                 return
-            with exit_on_failed_sync():
+            with self.guard.watch():
                 self._call(event)
+            if self.guard.is_suspended:
+                return
 
     def _call(self, event: Event) -> None:
         try:
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -127,6 +127,9 @@
             self._metrics,
         )
         self._metrics.register_gauge('entries', self._count_entries)
+        self._metrics.register_gauge(
+            'disk_suspended', lambda: int(self._log.is_suspended())
+        )
 
     async def start(self) -> None:
         """Load the durable state and join the group."""
--- a/shallotgate/storage/_folder.py
+++ b/shallotgate/storage/_folder.py
@@ -23,6 +23,8 @@
 from shallotgate.storage._records import RecordLog
 
 _IDENTITY_BYTES = 16
+# More than a log record or a vote takes on the disk.
+_PROBE_BYTES = 64 * 1024
 _T = TypeVar('_T')
 
 
@@ -65,6 +67,7 @@
         self._identity_path = self.path / 'identity'
         self._snapshot_path = self.path / 'snapshot'
         self._staged_snapshot_path = self.path / 'snapshot.staged'
+        self._probe_path = self.path / 'probe'
         self._lock_descriptor = -1
 
     def open(self) -> list[bytes]:
@@ -129,6 +132,14 @@
             ) from error
         sync_folder(self.path)
 
+    def probe(self) -> None:
+        """Write a file and remove it; raises ``SyncFailedError``."""
+        replace_file(self._probe_path, bytes(_PROBE_BYTES))
+        try:
+            self._probe_path.unlink()
+        except OSError as error:
+            raise SyncFailedError(f'{self._probe_path}: {error}') from error
+
     def _acquire_lock(self) -> None:
         descriptor = os.open(self.path / 'lock', os.O_RDWR | os.O_CREAT, 0o600)
         try:
