Keep the extra attempts of a large tier within the budget

Cause: with 191 entries and a slack of 422 each entry has one attempt as its least share. A restart of all of them let each spend one before and one after it, and a new leader granted anew what its predecessor had granted: a test in virtual time made 595 extra attempts where 537 are allowed (191 entries) and 929 of 830 (300). And a new leader told the first entries that asked it a count of 1, 2, 3 and so on, so that each of them took the slack, the connections and the rate of cold targets of the whole tier until its next question.

Change: an entry whose share after a start is no whole attempt has none in its first window; the least share of one attempt holds only where all of them leave room for the grants; a new leader grants nothing in its first window. Entries report the count they were told, a new leader relies on it for 6 s, and says that it does not know one if nobody does. An entry without a count has no share of the slack, one connection to a target and sends nothing to cold targets.

--- a/shallotgate/extras/_budget.py
+++ b/shallotgate/extras/_budget.py
@@ -1,10 +1,6 @@
 """Local retry budget of an entry."""
 
-from shallotgate.extras._policy import (
-    LOCAL_SHARE,
-    STARTUP_SHARE,
-    RetryBudgetPolicy,
-)
+from shallotgate.extras._policy import RetryBudgetPolicy
 from shallotgate.extras._sliding_window import SlidingWindowCounter
 
 # Used part of the ratio: the counted window is up to a twentieth longer than
@@ -16,13 +12,12 @@
     """This entry's share of the retry budget of one service.
 
     In any window an entry makes at most the ratio of its requests plus its
-    share of the slack as extra attempts. Summed over all entries this stays
-    within the policy as long as the slack is larger than the number of entries.
-    If all entries restart once in the window, it holds as long as the startup
-    share of each entry is a whole attempt; with smaller shares each entry may
-    spend one attempt before and one after the restart.
+    share of the slack as extra attempts. Summed over all entries and the
+    grants of the leader this stays within the policy, also if all entries
+    restart once in the window. An entry that does not know how many entries
+    there are has no share of the slack.
 
-    >>> budget = RetryBudget(RetryBudgetPolicy(0.5, 0, 10))
+    >>> budget = RetryBudget(RetryBudgetPolicy(0.5, 4, 10))
     >>> budget.record_request(0, entries=1)
     >>> budget.try_spend(0)
     True
@@ -37,13 +32,17 @@
         self._allowance = allowance
         self._count = SlidingWindowCounter(allowance.window_s)
         self._started_at: float | None = None
-        self._share: float = 0
+        # Number of entries that share the slack; 0 if it is unknown.
+        self._entries = 0
 
     def record_request(self, now: float, entries: int) -> None:
-        """Record a request; ``now`` is in monotonic seconds."""
+        """Record a request; ``now`` is in monotonic seconds.
+
+        ``entries`` is the number of entries, 0 if it is unknown.
+        """
         if self._started_at is None:
             self._started_at = now
-        self._share = self._allowance.slack / max(entries, 1)
+        self._entries = entries
         self._count.add(now, requests=1)
 
     def try_spend(self, now: float) -> bool:
@@ -59,7 +58,5 @@
         allowance = self._allowance
         started_at = now if self._started_at is None else self._started_at
         is_new = now - started_at <= allowance.window_s
-        share = STARTUP_SHARE if is_new else LOCAL_SHARE
-        # At least one whole attempt, as a fraction could never be spent.
-        slack = max(self._share * share, 1)
+        slack = allowance.compute_local_slack(self._entries, is_new=is_new)
         return allowance.ratio * _RATIO_SHARE * self._count.requests + slack
--- a/shallotgate/extras/_grant_pool.py
+++ b/shallotgate/extras/_grant_pool.py
@@ -11,18 +11,17 @@
 
     Failures rarely affect the requests of all entries equally, so one entry may
     need more than its share while others need nothing. A new leader does not
-    know the grants of its predecessor. Its limit grows linearly over the first
-    window, so that both together grant no more than one leader would, provided
-    that the predecessor granted evenly. Thread-safe.
+    know the grants of its predecessor, so it grants nothing in its first
+    window. Thread-safe.
 
     >>> pool = RetryGrantPool(RetryBudgetPolicy(0.2, 10, 10))
     >>> pool.activate(0)
-    >>> pool.grant('s', 5, now=0)
-    0
-    >>> pool.grant('s', 5, now=6)
-    2
     >>> pool.grant('s', 5, now=10)
-    1
+    0
+    >>> pool.grant('s', 5, now=11)
+    3
+    >>> pool.grant('s', 1, now=11)
+    0
     """
 
     def __init__(self, allowance: RetryBudgetPolicy) -> None:
@@ -52,16 +51,16 @@
     def grant(self, service: str, wanted: int, now: float) -> int:
         """Return how many of the wanted extra attempts are granted."""
         with self._lock:
-            if self._active_since is None:
-                return 0
             window_s = self._allowance.window_s
+            active_since = self._active_since
+            if active_since is None or now - active_since <= window_s:
+                return 0
             count = self._counts.get(service)
             if count is None:
                 count = SlidingWindowCounter(window_s)
                 self._counts[service] = count
             count.advance_to(now)
-            ramp = min((now - self._active_since) / window_s, 1)
-            limit = self._allowance.slack * GRANT_SHARE * ramp
+            limit = self._allowance.slack * GRANT_SHARE
             granted = max(min(wanted, int(limit) - count.extras), 0)
             if granted:
                 count.add(now, extras=granted)
--- a/shallotgate/extras/_policy.py
+++ b/shallotgate/extras/_policy.py
@@ -10,6 +10,9 @@
 # know its earlier spending. If all entries restart once in a window, all three
 # shares may be spent in it.
 STARTUP_SHARE = 0.25
+# Fractions of an attempt can't be spent, so an entry whose local share is below
+# one whole attempt gets one, if all entries together leave room for the grants.
+_MIN_SLACK_PER_ENTRY = 1 / (1 - GRANT_SHARE)
 
 
 @dataclass(frozen=True)
@@ -22,3 +25,17 @@
     slack: float
     # Length of the window in seconds.
     window_s: float
+
+    def compute_local_slack(self, entries: int, *, is_new: bool) -> float:
+        """Return the part of the slack that one entry spends in a window.
+
+        ``entries`` is the number of entries, 0 if it is unknown; ``is_new``
+        tells that the entry started within the window.
+        """
+        per_entry = self.slack / entries if entries else 0
+        if is_new:
+            local = per_entry * STARTUP_SHARE
+            return local if local >= 1 else 0
+        if per_entry < _MIN_SLACK_PER_ENTRY:
+            return 0
+        return max(per_entry * LOCAL_SHARE, 1)
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -47,8 +47,8 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyWindow] = {}
         self._contexts: dict[tuple[str, str], DispatchContext] = {}
-        # Number of entries that share the limits of the targets.
-        self.entries = 1
+        # Number of entries that share the limits of the targets; 0 if unknown.
+        self.entries = 0
 
     def update_entries(self, count: int) -> None:
         """Set the number of entries that share the limits."""
@@ -82,9 +82,11 @@
         return latency
 
     def _create(self, route: Route, service: Service) -> DispatchContext:
-        connections = (
-            service.max_connections * _CONNECTIONS_SHARE / self.entries
-        )
+        connections: float = 0
+        if self.entries:
+            connections = (
+                service.max_connections * _CONNECTIONS_SHARE / self.entries
+            )
         return DispatchContext(
             wire=self._wire,
             directory=self._directory,
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -61,7 +61,10 @@
 
     @property
     def entries(self) -> int:
-        """Number of entries that share the limits of the targets."""
+        """Number of entries that share the limits of the targets.
+
+        0 if it is unknown; then this entry uses the least share.
+        """
         return self._contexts.entries
 
     @entries.setter
--- a/shallotgate/gateway/_warm_up.py
+++ b/shallotgate/gateway/_warm_up.py
@@ -20,13 +20,22 @@
         entries: int,
         generator: random.Random,
     ) -> None:
-        """``per_s`` is the rate limit of a cold target; 0 means none."""
+        """``per_s`` is the rate limit of a cold target; 0 means none.
+
+        Without a known number of entries, which is given as 0, this entry
+        sends nothing to a cold target that has a limit.
+        """
         self._interval_s = entries / per_s if per_s else 0
+        self._is_share_unknown = bool(per_s) and not entries
         self._generator = generator
 
     def allows(self, target: Target, now: float) -> bool:
         """Return whether a request may be sent to the target now."""
-        if not self._interval_s or now >= target.cold_until:
+        if now >= target.cold_until:
+            return True
+        if self._is_share_unknown:
+            return False
+        if not self._interval_s:
             return True
         if target.cold_next_at is None:
             wait_s = self._interval_s * self._generator.random()
--- a/shallotgate/gateway/tests/test_warm_up.py
+++ b/shallotgate/gateway/tests/test_warm_up.py
@@ -44,3 +44,8 @@
 
 def test_without_a_stated_rate_nothing_is_held_back():
     assert len(play(0, ENTRIES)) > 50
+
+
+def test_entry_that_knows_no_share_sends_nothing_to_a_cold_target():
+    """Guards against a restarted entry that takes the rate of the tier."""
+    assert not play(PER_S, 0)
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -163,6 +163,7 @@
             leaving=self._is_leaving,
             observed=self._directory.reply_stats.drain(),
             conditions_revision=self._directory.conditions_revision,
+            entries=self._gateway.entries,
         )
 
     def _report_degradation(self) -> None:
@@ -208,7 +209,8 @@
         update: TierUpdate,
         table: RoutingTable | None,
     ) -> None:
-        self._gateway.entries = update.entries
+        if update.entries:
+            self._gateway.entries = update.entries
         if update.domains is not None:
             self._directory.apply_domains_out(
                 update.domains.revision,
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -18,6 +18,7 @@
 )
 from shallotgate.logs import get_logger
 from shallotgate.registry._conditions import ConditionTracker
+from shallotgate.registry._entry_counter import EntryCounter
 from shallotgate.registry._listing import ListingPoller
 from shallotgate.registry._state import Registry, RegistryState
 from shallotgate.transport import Delivery, Mailbox
@@ -31,8 +32,6 @@
 _LEADERLESS_TIMEOUT_S = 0.25
 # Interval between checks for requests whose timeout has passed.
 _POLL_INTERVAL_S = 0.05
-# An entry is live for this time after its last request.
-_ENTRY_TTL_S = 6.0
 # Bits of the random first revision of the conditions, which keeps revisions of
 # different leaders distinct.
 _REVISION_BITS = 48
@@ -68,7 +67,7 @@
         self._listing = listing
         self._list_members = list_members
         self._pending: dict[str, _PendingRequest] = {}
-        self._last_requests: dict[str, float] = {}
+        self._entry_counter = EntryCounter()
         self._documents: OrderedDict[int, bytes] = OrderedDict()
         self._changed = threading.Condition()
         # Counts changes that may concern a follower.
@@ -97,19 +96,14 @@
 
     def list_entries(self) -> list[str]:
         """Return the live entries, which share the limits of the targets."""
-        cutoff = time.monotonic() - _ENTRY_TTL_S
-        requests = tuple(self._last_requests.items())
-        return [
-            entry for entry, requested_at in requests if requested_at > cutoff
-        ]
+        return self._entry_counter.list_live(time.monotonic())
 
     def _on_follow(self, delivery: Delivery) -> None:
         now = time.monotonic()
+        self._entry_counter.record_request(
+            delivery.sender, delivery.message, now
+        )
         with self._changed:
-            if delivery.message.leaving:
-                self._last_requests.pop(delivery.sender, None)
-            else:
-                self._last_requests[delivery.sender] = now
             self._pending[delivery.sender] = _PendingRequest(delivery, now)
             self._changed.notify_all()
         if delivery.message.observed is not None:
@@ -119,6 +113,7 @@
         self._conditions.record_replies(delivery.message, time.monotonic())
 
     def _on_leadership(self, is_leading: bool) -> None:
+        self._entry_counter.set_leading(is_leading, time.monotonic())
         self._notify_change()
 
     def _notify_change(self) -> None:
@@ -204,7 +199,7 @@
         return TierUpdate(
             status='current',
             members=self._list_members(),
-            entries=max(len(self.list_entries()), 1),
+            entries=self._entry_counter.count(time.monotonic()),
             table=self._make_table(registry, message.table_version),
             domains=domains,
             listing=self._listing.make_update(
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -83,6 +83,7 @@
             retry_grants=self._retry_grants,
             blocklist=self.blocklist,
         )
+        self.gateway.entries = 1
         names = tuple(f's{number}' for number in range(shards))
         self.targets = targets or {
             name: [
