Bound every exchange of the clients over urllib3

Cause: the timeouts of urllib3 and of the standard library apply to each read, and any number of interim responses is skipped. And a head that ends early is accepted: the command-line tool took a 200 cut in its head for a success with an empty body.

Change: one client in shallotgate/http, for both lists and the command-line tool; its socket, and that of an owner's connection, checks the deadline and counts all bytes at each read. The tool reports an unknown outcome unless the response states where it ends. Servers on cheroot limit the head of a request to 64 KiB.

Ruled out, by the same tests: a reply to an owner and a list that are cut are never taken as whole, since their JSON decides. TLS connections of the tool keep the timeouts of each read.

--- a/shallotgate/cli/_client.py
+++ b/shallotgate/cli/_client.py
@@ -5,18 +5,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-import urllib3
-
+from shallotgate import http
 from shallotgate.codec import CodecError, decode_json, encode_json
 from shallotgate.errors import ShallotgateError
 
-_CONNECT_TIMEOUT_S = 3
 _ID_RANDOM_BYTES = 12
-_CONNECT_ERRORS = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-    urllib3.exceptions.LocationValueError,
-)
+_MAX_RESPONSE_BYTES = 256 * 1024 * 1024
 
 
 class ServerUnreachableError(ShallotgateError):
@@ -52,7 +46,9 @@
             'Connection': 'close',
         }
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(retries=False)
+        self._http = http.HttpClient(
+            http.ExchangeLimits(timeout_s, _MAX_RESPONSE_BYTES), reuse=False
+        )
 
     def call(
         self,
@@ -70,22 +66,29 @@
             raise ServerUnreachableError(
                 'no address given; use --url or SHALLOTGATE_URL'
             )
-        try:
-            response = self._pool.request(
-                method,
-                self.url + path,
-                body=None if body is None else encode_json(body),
-                headers=self._headers,
-                timeout=urllib3.Timeout(
-                    connect=_CONNECT_TIMEOUT_S,
-                    read=timeout_s or self._timeout_s,
-                ),
+        response = self._exchange(
+            method,
+            self.url + path,
+            None if body is None else encode_json(body),
+            timeout_s or self._timeout_s,
+        )
+        if not response.is_framed:
+            # urllib3 accepts a head that ends early as complete.
+            raise UnknownOutcomeError(
+                f'{self.url}: the head of the response is incomplete'
             )
-        except _CONNECT_ERRORS as error:
-            raise ServerUnreachableError(f'{self.url}: {error}') from error
-        except urllib3.exceptions.HTTPError as error:
-            raise UnknownOutcomeError(f'{self.url}: {error}') from error
-        return HttpReply(response.status, _decode(response.data))
+        return HttpReply(response.status, _decode(response.body))
+
+    def _exchange(
+        self, method: str, url: str, body: bytes | None, timeout_s: float
+    ) -> http.HttpResponse:
+        limits = http.ExchangeLimits(timeout_s, _MAX_RESPONSE_BYTES)
+        try:
+            return self._http.request(method, url, body, self._headers, limits)
+        except http.HttpConnectError as error:
+            raise ServerUnreachableError(str(error)) from error
+        except http.HttpExchangeError as error:
+            raise UnknownOutcomeError(str(error)) from error
 
 
 def make_timestamped_id() -> str:
--- a/shallotgate/cli/tests/test_commands.py
+++ b/shallotgate/cli/tests/test_commands.py
@@ -5,8 +5,10 @@
 import pytest
 
 from shallotgate.cli import ExitCode, main
+from shallotgate.cli._client import HttpClient, UnknownOutcomeError
 from shallotgate.codec import decode_json
 from shallotgate.http import HttpServer, Request, Response, make_json_response
+from shallotgate.http.tests.raw_server import serve_bytes
 
 DOMAIN = {'owner': 'ana', 'region': 'r', 'taken_out': False}
 CATALOGUE = {'version': 7, 'domains': {'a': DOMAIN}}
@@ -242,3 +244,16 @@
     assert main(unreachable) == ExitCode.UNREACHABLE
     assert main(['settings', 'check', 'none.yaml']) == ExitCode.BAD_INPUT
     assert 'none.yaml:1' in capsys.readouterr().err
+
+
+def test_cut_response_is_no_success(monkeypatch):
+    """Guards against an acknowledgement that was cut in its head.
+
+    The standard library takes a head that ends early as complete, and its
+    empty body as text.
+    """
+    monkeypatch.setenv('SHALLOTGATE_TOKEN', 'secret')
+    for head in (b'HTTP/1.1 200 OK\r\n', b'HTTP/1.1 200 OK\r\nContent-Le'):
+        cut = serve_bytes(head)
+        with cut as server, pytest.raises(UnknownOutcomeError):
+            HttpClient(server.address, 'secret').call('GET', '/v1/status')
--- a/shallotgate/http/__init__.py
+++ b/shallotgate/http/__init__.py
@@ -1,5 +1,14 @@
-"""HTTP servers over cheroot."""
+"""HTTP servers over cheroot, and a client over urllib3."""
 
+from shallotgate.http._client import (
+    ExchangeLimits,
+    ExchangeMeter,
+    HttpClient,
+    HttpConnectError,
+    HttpExchangeError,
+    HttpResponse,
+    MeteredSocket,
+)
 from shallotgate.http._server import (
     Application,
     HttpServer,
@@ -10,7 +19,14 @@
 
 __all__ = (
     'Application',
+    'ExchangeLimits',
+    'ExchangeMeter',
+    'HttpClient',
+    'HttpConnectError',
+    'HttpExchangeError',
+    'HttpResponse',
     'HttpServer',
+    'MeteredSocket',
     'Request',
     'Response',
     'make_json_response',
--- a/shallotgate/http/_server.py
+++ b/shallotgate/http/_server.py
@@ -17,6 +17,8 @@
 _QUEUE_SIZE = 256
 # Longer than a balancer keeps an idle connection, so that it closes first.
 _IDLE_TIMEOUT_S = 75
+# Request line and headers of one request.
+_MAX_HEAD_BYTES = 64 * 1024
 _REASONS = MappingProxyType(
     {
         200: 'OK',
@@ -96,6 +98,7 @@
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
             timeout=_IDLE_TIMEOUT_S,
         )
+        self._server.max_request_header_size = _MAX_HEAD_BYTES
         self._server.error_log = self._log_error  # type: ignore[method-assign]
         self._thread = threading.Thread(
             target=self._serve,
--- a/shallotgate/targets/_http.py
+++ b/shallotgate/targets/_http.py
@@ -21,9 +21,12 @@
 )
 from shallotgate.generated.catalogue import Target
 from shallotgate.generated.messages import Attempt, TargetVersion
+from shallotgate.http import ExchangeLimits, ExchangeMeter, MeteredSocket
 from shallotgate.targets._connector import TargetReply, TargetReport
 
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+# Everything but the body of a reply: status line, headers, interim replies.
+_MAX_HEAD_BYTES = 64 * 1024
 _MS_PER_S = 1000
 # Reads return whatever has arrived, so that the deadline is checked between
 # the chunks of a slow reply.
@@ -103,9 +106,16 @@
 
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port)
+        self.meter = ExchangeMeter()
         # Parts of the request that is being assembled.
         self._request_parts: list[bytes] = []
 
+    def connect(self) -> None:
+        """Connect; the reads of each exchange are bounded."""
+        super().connect()
+        if self.sock is not None:
+            self.sock = MeteredSocket(self.sock, self.meter)
+
     def prepare_request(self, method: str, path: str, body: bytes) -> None:
         """Assemble a request."""
         self._request_parts.clear()
@@ -252,6 +262,9 @@
                 'deadline passed before the attempt was sent'
             )
         connection.set_timeout(remaining_s)
+        connection.meter.begin(
+            ExchangeLimits(remaining_s, MAX_REPLY_BYTES + _MAX_HEAD_BYTES)
+        )
         connection.send_request()
         response = connection.read_response_head()
         length = response.length
@@ -277,13 +290,6 @@
                 )
             chunks.append(chunk)
             length -= len(chunk)
-            if length:
-                remaining_s = self._deadline - time.monotonic()
-                if remaining_s <= 0:
-                    raise TargetTimeoutError(
-                        'deadline passed while reading the reply'
-                    )
-                self._connection.set_timeout(remaining_s)
         # Marks the response as read, so that the connection can be reused.
         response.close()
         return b''.join(chunks)
--- a/shallotgate/targets/_platform.py
+++ b/shallotgate/targets/_platform.py
@@ -5,8 +5,13 @@
 from typing import Literal
 
 import msgspec
-import urllib3
 
+from shallotgate.http import (
+    ExchangeLimits,
+    HttpClient,
+    HttpConnectError,
+    HttpExchangeError,
+)
 from shallotgate.logs import get_logger
 
 _LOGGER = get_logger('targets')
@@ -23,6 +28,7 @@
     instances: Sequence[_Instance]
 
 
+_POLL_ERRORS = (HttpConnectError, HttpExchangeError, msgspec.MsgspecError)
 _DECODER = msgspec.json.Decoder(_List)
 OnList = Callable[[frozenset[str], frozenset[str]], None]
 
@@ -41,10 +47,7 @@
         self._on_list = on_list
         self._stopped = threading.Event()
         self._is_failing = False
-        self._http = urllib3.PoolManager(
-            retries=False,
-            timeout=urllib3.Timeout(total=_TIMEOUT_S),
-        )
+        self._http = HttpClient(ExchangeLimits(_TIMEOUT_S, _MAX_LIST_BYTES))
         self._thread = threading.Thread(
             target=self._run,
             name='platform-list',
@@ -59,13 +62,13 @@
         """Stop polling; waits for a poll in progress."""
         self._stopped.set()
         self._thread.join(timeout=_TIMEOUT_S * 2)
-        self._http.clear()
+        self._http.close()
 
     def poll(self) -> bool:
         """Fetch the list once; returns whether it succeeded."""
         try:
             instance_list = _DECODER.decode(self._fetch())
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+        except _POLL_ERRORS as error:
             self._log_failure(error)
             return False
         self._is_failing = False
@@ -76,18 +79,10 @@
         return True
 
     def _fetch(self) -> bytes:
-        response = self._http.request(
-            'GET',
-            self._url,
-            preload_content=False,
-        )
-        try:
-            content: bytes = response.read(_MAX_LIST_BYTES)
-        finally:
-            response.release_conn()
+        response = self._http.request('GET', self._url)
         if response.status != 200:  # noqa: WPS432
-            raise urllib3.exceptions.HTTPError(f'status {response.status}')
-        return content
+            raise HttpExchangeError(f'status {response.status}')
+        return response.body
 
     def _log_failure(self, error: Exception) -> None:
         if not self._is_failing:
--- a/shallotgate/targets/tests/test_http_connector.py
+++ b/shallotgate/targets/tests/test_http_connector.py
@@ -14,6 +14,7 @@
     TargetTimeoutError,
 )
 from shallotgate.generated.catalogue import Target
+from shallotgate.http.tests.raw_server import ENDLESS, serve_bytes
 from shallotgate.targets import HttpTargetConnector
 from shallotgate.targets.tests.fakes import WAIT_S, Rig, wait_until
 from testkit.standin import StandinProcess, make_matches
@@ -78,6 +79,25 @@
     connection.close()
 
 
+@pytest.mark.parametrize('is_slow', [False, True])
+@pytest.mark.parametrize('kind', ENDLESS)
+def test_endless_reply_ends_in_time(kind, is_slow):
+    """Guards against an owner's thread that reads for ever.
+
+    A target in trouble sends bytes without end, in a head or a body.
+    """
+    start, repeated = ENDLESS[kind]
+    begun = time.monotonic()
+    repeated = repeated[:30] if is_slow else repeated
+    with serve_bytes(start, repeated, is_slow) as server:
+        target = Target(
+            name='t', address=server.address, domain='d', slots=3, connections=9
+        )
+        with pytest.raises(TargetError):
+            HttpTargetConnector().connect(target, 0.5)
+    assert time.monotonic() - begun < 2
+
+
 def test_invalid_reply_fails_only_its_own_attempt(standin, rig):
     """Guards against reuse of a connection after an invalid reply."""
     assert rig.run().status == 'ok'
