Wait up to a lease for a live majority before a member is replaced

Cause: replace_member refused at once if the other followers had not replied within the lease, which is so for a moment after a partition has healed. test_disk_lost_and_replaced_then_second_member_lost met it once.

Change: the check waits up to one lease, within the timeout of the call. A majority that stays away is refused after that.

--- a/shallotgate/consensus/_membership_changes.py
+++ b/shallotgate/consensus/_membership_changes.py
@@ -68,15 +68,12 @@
 
     def remove_member(self, leadership: Leadership, instance: str) -> None:
         """Remove a member; raises ``ConsensusError`` on failure."""
+        deadline = time.monotonic() + _RESUME_INTERVAL_S
         with self._serialize_changes():
-            self._require_live_majority(leadership, instance)
+            self._require_live_majority(leadership, instance, deadline)
             with self._state.changed:
                 group = self._state.journal.group
-            self._commit_group(
-                leadership,
-                group.without(instance),
-                time.monotonic() + _RESUME_INTERVAL_S,
-            )
+            self._commit_group(leadership, group.without(instance), deadline)
 
     def on_leadership_change(self, is_leading: bool) -> None:
         """Start to resume unfinished replacements when this member leads.
@@ -202,7 +199,7 @@
         if member.identity == identity and member.voter:
             return
         if member.identity != identity:
-            self._require_live_majority(leadership, instance)
+            self._require_live_majority(leadership, instance, deadline)
             self._commit_member(leadership, instance, identity, False, deadline)
         self._commit_member(leadership, instance, identity, True, deadline)
         _LOGGER.info(
@@ -252,16 +249,17 @@
         self,
         leadership: Leadership,
         instance: str,
+        deadline: float,
     ) -> None:
-        """Raise if the remaining live voters could not commit anything."""
+        """Raise if the remaining live voters could not commit anything.
+
+        A voter that has just become reachable again is waited for: it replies
+        within a lease.
+        """
         state = self._state
-        with state.changed:
-            others = state.journal.group.without(instance)
-            live_voters = leadership.list_live_voters(
-                others, state.options.lease_s
-            )
-            live_instances = {progress.instance for progress in live_voters}
-        if len(live_instances) + 1 < others.quorum:
+        is_alive = partial(_has_live_majority, state, leadership, instance)
+        waits_until = time.monotonic() + state.options.lease_s
+        if not state.wait_until(is_alive, min(waits_until, deadline)):
             raise ConsensusError(
                 'too few other members respond to form a majority'
             )
@@ -303,3 +301,14 @@
 def _is_fully_replicated(state: MemberState, progress: Progress) -> bool:
     last_index = state.journal.last_index
     return progress.match_index == last_index == state.commit_index
+
+
+def _has_live_majority(
+    state: MemberState, leadership: Leadership, instance: str
+) -> bool:
+    """Return whether the other members, without one, could commit."""
+    with state.changed:
+        others = state.journal.group.without(instance)
+        live_voters = leadership.list_live_voters(others, state.options.lease_s)
+        live_instances = {progress.instance for progress in live_voters}
+    return len(live_instances) + 1 >= others.quorum
--- a/shallotgate/consensus/tests/test_disks.py
+++ b/shallotgate/consensus/tests/test_disks.py
@@ -102,6 +102,33 @@
     assert voters == [True, True, True]
 
 
+def test_replacement_waits_for_a_member_that_is_reachable_again(
+    cluster, monkeypatch
+):
+    """Guards against a refused repair just after a partition has healed.
+
+    The other follower has not replied within the lease when the replacement
+    is requested, but does so a moment later.
+    """
+    wiped = pick_followers(cluster)[0]
+    cluster.stop(wiped)
+    cluster.wipe(wiped)
+    cluster.start(wiped)
+    leader = cluster.wait_leader()
+    leadership = leader.log._state.leadership
+    list_live = leadership.list_live_voters
+    results = iter(((), ()))
+    monkeypatch.setattr(
+        leadership,
+        'list_live_voters',
+        lambda *args: next(results, list_live(*args)),
+    )
+    leader.log.replace_member(wiped, 10)
+    identity = cluster.nodes[wiped].log.status().identity
+    members = leader.log.status().members
+    assert identity in {member.identity for member in members if member.voter}
+
+
 def test_wiped_member_catches_up_by_snapshot_parts(make_cluster):
     """Guards against a new member that lacks compacted records."""
     cluster = make_cluster(options=SMALL_OPTIONS)
