Keep the HTTP server out of what control members import

Cause: put the bounded client into shallotgate/http, whose package also imports the server over cheroot. The platform's deployment installs no cheroot: each control member ended at its start with ModuleNotFoundError, no table was ever accepted, and nothing was served.

Change: the client is a package of its own, shallotgate/http_client.

--- a/shallotgate/cli/_client.py
+++ b/shallotgate/cli/_client.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from shallotgate import http
+from shallotgate import http_client
 from shallotgate.codec import CodecError, decode_json, encode_json
 from shallotgate.errors import ShallotgateError
 
@@ -46,8 +46,9 @@
             'Connection': 'close',
         }
         self._timeout_s = timeout_s
-        self._http = http.HttpClient(
-            http.ExchangeLimits(timeout_s, _MAX_RESPONSE_BYTES), reuse=False
+        self._http = http_client.HttpClient(
+            http_client.ExchangeLimits(timeout_s, _MAX_RESPONSE_BYTES),
+            reuse=False,
         )
 
     def call(
@@ -81,13 +82,13 @@
 
     def _exchange(
         self, method: str, url: str, body: bytes | None, timeout_s: float
-    ) -> http.HttpResponse:
-        limits = http.ExchangeLimits(timeout_s, _MAX_RESPONSE_BYTES)
+    ) -> http_client.HttpResponse:
+        limits = http_client.ExchangeLimits(timeout_s, _MAX_RESPONSE_BYTES)
         try:
             return self._http.request(method, url, body, self._headers, limits)
-        except http.HttpConnectError as error:
+        except http_client.HttpConnectError as error:
             raise ServerUnreachableError(str(error)) from error
-        except http.HttpExchangeError as error:
+        except http_client.HttpExchangeError as error:
             raise UnknownOutcomeError(str(error)) from error
 
 
--- a/shallotgate/cli/tests/test_commands.py
+++ b/shallotgate/cli/tests/test_commands.py
@@ -8,7 +8,7 @@
 from shallotgate.cli._client import HttpClient, UnknownOutcomeError
 from shallotgate.codec import decode_json
 from shallotgate.http import HttpServer, Request, Response, make_json_response
-from shallotgate.http.tests.raw_server import serve_bytes
+from shallotgate.http_client.tests.raw_server import serve_bytes
 
 DOMAIN = {'owner': 'ana', 'region': 'r', 'taken_out': False}
 CATALOGUE = {'version': 7, 'domains': {'a': DOMAIN}}
--- a/shallotgate/http/__init__.py
+++ b/shallotgate/http/__init__.py
@@ -1,14 +1,5 @@
-"""HTTP servers over cheroot, and a client over urllib3."""
+"""HTTP servers over cheroot."""
 
-from shallotgate.http._client import (
-    ExchangeLimits,
-    ExchangeMeter,
-    HttpClient,
-    HttpConnectError,
-    HttpExchangeError,
-    HttpResponse,
-    MeteredSocket,
-)
 from shallotgate.http._server import (
     Application,
     HttpServer,
@@ -19,14 +10,7 @@
 
 __all__ = (
     'Application',
-    'ExchangeLimits',
-    'ExchangeMeter',
-    'HttpClient',
-    'HttpConnectError',
-    'HttpExchangeError',
-    'HttpResponse',
     'HttpServer',
-    'MeteredSocket',
     'Request',
     'Response',
     'make_json_response',
--- /dev/null
+++ b/shallotgate/http_client/__init__.py
@@ -0,0 +1,21 @@
+"""HTTP client over urllib3 whose every exchange is bounded."""
+
+from shallotgate.http_client._client import (
+    ExchangeLimits,
+    ExchangeMeter,
+    HttpClient,
+    HttpConnectError,
+    HttpExchangeError,
+    HttpResponse,
+    MeteredSocket,
+)
+
+__all__ = (
+    'ExchangeLimits',
+    'ExchangeMeter',
+    'HttpClient',
+    'HttpConnectError',
+    'HttpExchangeError',
+    'HttpResponse',
+    'MeteredSocket',
+)
--- a/shallotgate/http/tests/test_client.py
+++ b/shallotgate/http_client/tests/test_client.py
@@ -4,13 +4,17 @@
 
 import pytest
 
-from shallotgate.http import (
+from shallotgate.http_client import (
     ExchangeLimits,
     HttpClient,
     HttpConnectError,
     HttpExchangeError,
 )
-from shallotgate.http.tests.raw_server import ENDLESS, STATUS, serve_bytes
+from shallotgate.http_client.tests.raw_server import (
+    ENDLESS,
+    STATUS,
+    serve_bytes,
+)
 
 LIMITS = ExchangeLimits(timeout_s=1.0, max_bytes=256 * 1024)
 # Bytes that may be in the buffers of both sockets when the client closes.
--- a/shallotgate/targets/_http.py
+++ b/shallotgate/targets/_http.py
@@ -21,7 +21,7 @@
 )
 from shallotgate.generated.catalogue import Target
 from shallotgate.generated.messages import Attempt, TargetVersion
-from shallotgate.http import ExchangeLimits, ExchangeMeter, MeteredSocket
+from shallotgate.http_client import ExchangeLimits, ExchangeMeter, MeteredSocket
 from shallotgate.targets._connector import TargetReply, TargetReport
 
 MAX_REPLY_BYTES = 8 * 1024 * 1024
--- a/shallotgate/targets/_platform.py
+++ b/shallotgate/targets/_platform.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from shallotgate.http import (
+from shallotgate.http_client import (
     ExchangeLimits,
     HttpClient,
     HttpConnectError,
--- a/shallotgate/targets/tests/test_http_connector.py
+++ b/shallotgate/targets/tests/test_http_connector.py
@@ -14,7 +14,7 @@
     TargetTimeoutError,
 )
 from shallotgate.generated.catalogue import Target
-from shallotgate.http.tests.raw_server import ENDLESS, serve_bytes
+from shallotgate.http_client.tests.raw_server import ENDLESS, serve_bytes
 from shallotgate.targets import HttpTargetConnector
 from shallotgate.targets.tests.fakes import WAIT_S, Rig, wait_until
 from testkit.standin import StandinProcess, make_matches
