Begin the first window of a retry budget with the process

Change: the window begins when the process starts. An entry that has run for longer knows that it spent nothing on a service that is new to it. For that, the budget of a service that a table drops is kept while it has spent something.

--- a/shallotgate/extras/_budget.py
+++ b/shallotgate/extras/_budget.py
@@ -17,7 +17,7 @@
     restart once in the window. An entry that does not know how many entries
     there are has no share of the slack.
 
-    >>> budget = RetryBudget(RetryBudgetPolicy(0.5, 4, 10))
+    >>> budget = RetryBudget(RetryBudgetPolicy(0.5, 4, 10), started_at=0)
     >>> budget.record_request(0, entries=1)
     >>> budget.try_spend(0)
     True
@@ -28,10 +28,15 @@
     True
     """
 
-    def __init__(self, allowance: RetryBudgetPolicy) -> None:
+    def __init__(self, allowance: RetryBudgetPolicy, started_at: float) -> None:
+        """``started_at`` is the monotonic time at which the entry started.
+
+        What was spent before is not known, so the share is smaller in the
+        first window.
+        """
         self._allowance = allowance
         self._count = SlidingWindowCounter(allowance.window_s)
-        self._started_at: float | None = None
+        self._started_at = started_at
         # Number of entries that share the slack; 0 if it is unknown.
         self._entries = 0
 
@@ -40,11 +45,14 @@
 
         ``entries`` is the number of entries, 0 if it is unknown.
         """
-        if self._started_at is None:
-            self._started_at = now
         self._entries = entries
         self._count.add(now, requests=1)
 
+    def has_recent_extras(self, now: float) -> bool:
+        """Return whether extra attempts were spent in the last window."""
+        self._count.advance_to(now)
+        return self._count.extras > 0
+
     def try_spend(self, now: float) -> bool:
         """Spend one extra attempt; return False if none is available."""
         self._count.advance_to(now)
@@ -56,7 +64,6 @@
     def _compute_limit(self, now: float) -> float:
         """Return the limit on extra attempts in the current window."""
         allowance = self._allowance
-        started_at = now if self._started_at is None else self._started_at
-        is_new = now - started_at <= allowance.window_s
+        is_new = now - self._started_at <= allowance.window_s
         slack = allowance.compute_local_slack(self._entries, is_new=is_new)
         return allowance.ratio * _RATIO_SHARE * self._count.requests + slack
--- a/shallotgate/extras/tests/test_budget.py
+++ b/shallotgate/extras/tests/test_budget.py
@@ -25,7 +25,7 @@
     extras = []
     for number, gap in enumerate(gaps):
         if number in (0, restart_at):
-            budgets = [RetryBudget(ALLOWANCE) for _ in range(entries)]
+            budgets = [RetryBudget(ALLOWANCE, now) for _ in range(entries)]
         now += gap
         for budget in budgets:
             requests.append(now)
@@ -49,7 +49,7 @@
     """
     pool = RetryGrantPool(ALLOWANCE)
     pool.activate(-2 * WINDOW_S)
-    budget = RetryBudget(ALLOWANCE)
+    budget = RetryBudget(ALLOWANCE, started_at=0)
     budget.record_request(0, entries=200)
     assert budget.try_spend(0) or pool.grant('s', 1, now=0)
 
@@ -60,7 +60,7 @@
     An entry with one request a second may spend ratio x 10 and its share of the
     slack as extra attempts at any time within 10 s.
     """
-    budget = RetryBudget(ALLOWANCE)
+    budget = RetryBudget(ALLOWANCE, started_at=0)
     for now in range(30):
         budget.record_request(now, entries=10)
     spent = 0
--- a/shallotgate/extras/tests/test_tier_bound.py
+++ b/shallotgate/extras/tests/test_tier_bound.py
@@ -29,7 +29,7 @@
 
     def __init__(self, entries, slack):
         self.policy = RetryBudgetPolicy(RATIO, slack, WINDOW_S)
-        self.budgets = [RetryBudget(self.policy) for _ in range(entries)]
+        self.budgets = [RetryBudget(self.policy, 0) for _ in range(entries)]
         self.pool = RetryGrantPool(self.policy)
         self.pool.activate(-2 * WINDOW_S)
         self.restarted = set()
@@ -40,7 +40,7 @@
         # A second restart within a window is not covered by the policy.
         if all(now - at > 2 * WINDOW_S for at in self.restarted):
             self.restarted.add(now)
-            self.budgets = [RetryBudget(self.policy) for _ in self.budgets]
+            self.budgets = [RetryBudget(self.policy, now) for _ in self.budgets]
 
     def new_leader(self, now):
         self.pool = RetryGrantPool(self.policy)
@@ -48,7 +48,8 @@
 
     def add(self, now):
         self.budgets += [
-            RetryBudget(self.policy) for _ in range(len(self.budgets) // 10)
+            RetryBudget(self.policy, now)
+            for _ in range(len(self.budgets) // 10)
         ]
 
     def spend(self, now):
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -1,6 +1,7 @@
 """Dispatch contexts of the routes and services of the active table."""
 
 import random
+import time
 
 from shallotgate.extras import RetryBudget
 from shallotgate.gateway._active_table import retain_known
@@ -44,6 +45,7 @@
         self._reporter = reporter
         self._retry_grants = retry_grants
         self._chooser = TargetChooser(options.domain, generator)
+        self._started_at = time.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyWindow] = {}
         self._contexts: dict[tuple[str, str], DispatchContext] = {}
@@ -57,11 +59,20 @@
             self._contexts.clear()
 
     def apply_table(self, table: RoutingTable) -> None:
-        """Forget the services and routes that a table doesn't name."""
+        """Forget the services and routes that a table doesn't name.
+
+        The budget of a service that may be named again soon is kept.
+        """
         self._contexts.clear()
+        now = time.monotonic()
         services = {service.name for service in table.services}
         routes = {route.name for route in table.routes}
-        self._budgets = retain_known(self._budgets, services)
+        spent = {
+            name
+            for name, budget in self._budgets.items()
+            if budget.has_recent_extras(now)
+        }
+        self._budgets = retain_known(self._budgets, services | spent)
         self._latencies = retain_known(self._latencies, routes)
 
     def get(self, route: Route, service: Service) -> DispatchContext:
@@ -108,6 +119,8 @@
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._options.retry_budget_policy)
+            budget = RetryBudget(
+                self._options.retry_budget_policy, self._started_at
+            )
             self._budgets[service] = budget
         return budget
