Let a new leader grant extra attempts in its first window

Cause: a new leader does not know what its predecessor granted and granted nothing for 10 s. Each change of the leader left the tier with the least shares of its entries.

Change: 0.13 of the slack is kept for it. It may grant this if no other leadership began in the window before its own, which it knows from the terms of the records it has applied: each leader commits one before it serves. The regular grants are 0.3 of the slack instead of 0.35, the first share after a start 0.17 instead of 0.25.

Three real members show which time a third leader sees.

--- a/shallotgate/consensus/_applier.py
+++ b/shallotgate/consensus/_applier.py
@@ -1,10 +1,12 @@
 """Thread that applies committed records to the state machine."""
 
 import threading
+import time
 from functools import partial
 
 from shallotgate.consensus._group import encode_group
 from shallotgate.consensus._leadership import Proposal
+from shallotgate.consensus._leadership_history import LeadershipHistory
 from shallotgate.consensus._member_state import MemberState
 from shallotgate.consensus._state_machine import StateMachine
 from shallotgate.errors import (
@@ -31,6 +33,7 @@
         self._state = state
         self._machine = machine
         self._is_stopped = False
+        self.leaderships = LeadershipHistory(time.monotonic())
         # Thread that stages a snapshot; set until the worker has adopted the
         # snapshot.
         self._snapshot_thread: threading.Thread | None = None
@@ -90,6 +93,7 @@
         if snapshot.index <= state.applied_index:
             return
         self._machine.restore(snapshot.state)
+        self.leaderships.record_gap(time.monotonic())
         with state.changed:
             state.applied_index = snapshot.index
             state.changed.notify_all()
@@ -113,6 +117,7 @@
                     'The state machine raised an error for a command.'
                 )
                 failure = error
+        self.leaderships.record_term(record.term, time.monotonic())
         with state.changed:
             state.applied_index = record.index
             proposal = state.proposals.pop(record.index, None)
--- a/shallotgate/consensus/_replicated_log.py
+++ b/shallotgate/consensus/_replicated_log.py
@@ -71,6 +71,15 @@
         """Instance id of the known leader; None if there is none."""
         return self._state.leader
 
+    @property
+    def previous_leadership_at(self) -> float:
+        """Monotonic time at which the leadership before the newest began.
+
+        Both are taken from applied records. What began before this process is
+        given a later time, not before the start of the process.
+        """
+        return self._applier.leaderships.previous_at
+
     def start(self) -> None:
         """Load the durable state and join the group.
 
--- a/shallotgate/consensus/tests/test_leadership.py
+++ b/shallotgate/consensus/tests/test_leadership.py
@@ -30,6 +30,39 @@
     assert cluster.propose(b'after') == 2
 
 
+def test_new_leader_knows_when_its_predecessor_began(cluster):
+    """Guards against a new leader that overlooks a recent leadership.
+
+    What two leaders may do once in a span of time must not be done by each of
+    several that follow each other.
+    """
+    started_at = time.monotonic()
+    first = cluster.wait_leader()
+    assert first.log.previous_leadership_at <= time.monotonic()
+    cluster.propose(b'before')
+    began_by = time.monotonic()
+    cluster.isolate(first.name)
+    second = wait_for(
+        lambda: (
+            cluster.find_leader() not in (None, first) and cluster.find_leader()
+        )
+    )
+    assert second.log.previous_leadership_at <= began_by + 0.5
+    changed_at = time.monotonic()
+    cluster.heal()
+    wait_for(lambda: len(first.machine.items) == 1)
+    second.log.transfer_leadership()
+    third = wait_for(
+        lambda: (
+            cluster.find_leader() not in (None, second)
+            and cluster.find_leader()
+        )
+    )
+    previous_at = third.log.previous_leadership_at
+    assert previous_at > began_by
+    assert started_at < previous_at < changed_at + 10
+
+
 def test_cut_off_leader_serves_no_read_and_steps_down(cluster):
     """Guards against stale reads from a leader without a majority."""
     leader = cluster.wait_leader()
--- a/shallotgate/extras/_budget.py
+++ b/shallotgate/extras/_budget.py
@@ -17,7 +17,7 @@
     restart once in the window. An entry that does not know how many entries
     there are has no share of the slack.
 
-    >>> budget = RetryBudget(RetryBudgetPolicy(0.5, 4, 10), started_at=0)
+    >>> budget = RetryBudget(RetryBudgetPolicy(0.5, 6, 10), started_at=0)
     >>> budget.record_request(0, entries=1)
     >>> budget.try_spend(0)
     True
--- a/shallotgate/extras/_grant_pool.py
+++ b/shallotgate/extras/_grant_pool.py
@@ -2,7 +2,11 @@
 
 import threading
 
-from shallotgate.extras._policy import GRANT_SHARE, RetryBudgetPolicy
+from shallotgate.extras._policy import (
+    GRANT_SHARE,
+    TAKEOVER_SHARE,
+    RetryBudgetPolicy,
+)
 from shallotgate.extras._sliding_window import SlidingWindowCounter
 
 
@@ -11,16 +15,17 @@
 
     Failures rarely affect the requests of all entries equally, so one entry may
     need more than its share while others need nothing. A new leader does not
-    know the grants of its predecessor, so it grants nothing in its first
-    window. Thread-safe.
+    know the grants of its predecessor, so it grants from a part kept for it in
+    its first window. If another leadership began in the window before, that
+    part may be spent, and it grants nothing. Thread-safe.
 
     >>> pool = RetryGrantPool(RetryBudgetPolicy(0.2, 10, 10))
-    >>> pool.activate(0)
-    >>> pool.grant('s', 5, now=10)
-    0
-    >>> pool.grant('s', 5, now=11)
+    >>> pool.activate(20, previous_at=0)
+    >>> pool.grant('s', 5, now=20)
+    1
+    >>> pool.grant('s', 5, now=31)
     3
-    >>> pool.grant('s', 1, now=11)
+    >>> pool.grant('s', 1, now=31)
     0
     """
 
@@ -29,6 +34,8 @@
         self._lock = threading.Lock()
         # Monotonic time since which this member leads; None if it does not.
         self._active_since: float | None = None
+        # Share of the slack that it grants in its first window.
+        self._first_share: float = 0
         # Granted attempts by service.
         self._counts: dict[str, SlidingWindowCounter] = {}
 
@@ -37,11 +44,17 @@
         """Services with recent grants."""
         return tuple(self._counts)
 
-    def activate(self, now: float) -> None:
-        """Start granting as leader; ``now`` is in monotonic seconds."""
+    def activate(self, now: float, previous_at: float) -> None:
+        """Start granting as leader.
+
+        ``previous_at`` is when the leadership before this one began, or a later
+        time if it is unknown; both are in monotonic seconds.
+        """
         with self._lock:
             if self._active_since is None:
                 self._active_since = now
+                is_first_change = now - previous_at > self._allowance.window_s
+                self._first_share = TAKEOVER_SHARE if is_first_change else 0
 
     def deactivate(self) -> None:
         """Stop granting."""
@@ -51,16 +64,16 @@
     def grant(self, service: str, wanted: int, now: float) -> int:
         """Return how many of the wanted extra attempts are granted."""
         with self._lock:
-            window_s = self._allowance.window_s
-            active_since = self._active_since
-            if active_since is None or now - active_since <= window_s:
+            share = self._get_share(now)
+            if not share:
                 return 0
+            window_s = self._allowance.window_s
             count = self._counts.get(service)
             if count is None:
                 count = SlidingWindowCounter(window_s)
                 self._counts[service] = count
             count.advance_to(now)
-            limit = self._allowance.slack * GRANT_SHARE
+            limit = self._allowance.slack * share
             granted = max(min(wanted, int(limit) - count.extras), 0)
             if granted:
                 count.add(now, extras=granted)
@@ -73,3 +86,10 @@
                 count.advance_to(now)
                 if not count.extras:
                     self._counts.pop(service)
+
+    def _get_share(self, now: float) -> float:
+        """Return the share of the slack that may be granted in a window."""
+        if self._active_since is None:
+            return 0
+        is_new = now - self._active_since <= self._allowance.window_s
+        return self._first_share if is_new else GRANT_SHARE
--- a/shallotgate/extras/_policy.py
+++ b/shallotgate/extras/_policy.py
@@ -5,14 +5,18 @@
 # Shares of the slack that are available in any window: to the local budgets of
 # all entries, and to grants of the leader.
 LOCAL_SHARE = 0.4
-GRANT_SHARE = 0.35
+GRANT_SHARE = 0.3
+# Share of the slack that a new leader grants in its first window, when it does
+# not know what its predecessor granted. At most the share above, so that the
+# grants of one leader never exceed that in any window.
+TAKEOVER_SHARE = 0.13
 # Share of the slack in the first window after a start, when an entry does not
-# know its earlier spending. If all entries restart once in a window, all three
-# shares may be spent in it.
-STARTUP_SHARE = 0.25
+# know its earlier spending. If all entries restart and the leader changes once
+# in a window, all four shares may be spent in it.
+STARTUP_SHARE = 0.17
 # Fractions of an attempt can't be spent, so an entry whose local share is below
 # one whole attempt gets one, if all entries together leave room for the grants.
-_MIN_SLACK_PER_ENTRY = 1 / (1 - GRANT_SHARE)
+_MIN_SLACK_PER_ENTRY = 1 / (1 - GRANT_SHARE - TAKEOVER_SHARE)
 
 
 @dataclass(frozen=True)
--- a/shallotgate/registry/_retry_grants.py
+++ b/shallotgate/registry/_retry_grants.py
@@ -36,7 +36,9 @@
 
     def _on_leadership(self, is_leading: bool) -> None:
         if is_leading:
-            self._pool.activate(time.monotonic())
+            self._pool.activate(
+                time.monotonic(), self._log.previous_leadership_at
+            )
         else:
             self._pool.deactivate()
 
--- a/shallotgate/registry/tests/fakes.py
+++ b/shallotgate/registry/tests/fakes.py
@@ -18,6 +18,8 @@
     """Log with settable leadership."""
 
     leads = False
+    # Unknown, which is given as a time that is not in the past.
+    previous_leadership_at = float('inf')
 
     def is_leading(self):
         return self.leads
--- a/shallotgate/registry/tests/test_retry_grants.py
+++ b/shallotgate/registry/tests/test_retry_grants.py
@@ -27,7 +27,8 @@
     log.leads = True
     mailbox.handler(delivery)
     assert mailbox.sent[-1] == refused
-    # A new leader grants nothing in its first window.
+    # It grants nothing in its first window, as it may be one of several that
+    # followed each other.
     time.sleep(2 * WINDOW_S)
     mailbox.handler(delivery)
     granted = ('entry', GrantExtras(number=4, counts=[2, 1]))
--- a/testkit/gateway/_tier.py
+++ b/testkit/gateway/_tier.py
@@ -43,7 +43,7 @@
         """
         fields = {'slack': slack, **fields}
         pool = RetryGrantPool(RetryBudgetPolicy(ALLOWED_RATIO, slack, WINDOW_S))
-        pool.activate(float('-inf'))
+        pool.activate(float('-inf'), float('-inf'))
         first = SimulatedEntry(**fields)  # type: ignore[arg-type]
         others = [
             SimulatedEntry(
