Replace an attempt whose connection does not come about

Cause: an attempt that waits for its connection counted as one that may have run. A request that may not be repeated waited up to 1 s for a target that went dark and got a 504 if that was too long, though nothing had been sent. For one that may be repeated, each such attempt cost the retry budget.

Change: when a hedge is due and nothing has been sent, the attempt is replaced by one at another target, which costs no budget; a connection gets at least four times the usual time of its target. What was never sent is stated as not run. A fan-out gives up its attempts before it tells its result, so that nothing is sent afterwards. The permission for extra attempts is a class of its own, and the choice of the target moved to the context.

Tests: a request that was never sent is refused as not run (504 before), and a target that accepts no connection is replaced, repeatable or not, without any budget (504 before, both).

--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -37,7 +37,7 @@
         wire: WireCodec,
         call: Call,
         target: Target,
-        on_reply: Callable[['Attempt', float], None],
+        on_reply: Callable[[Target, float], None],
         get_idle_timeout_s: Callable[[Target], float | None],
     ) -> None:
         """Start the attempt.
@@ -55,6 +55,8 @@
         self._get_idle_timeout_s = get_idle_timeout_s
         self._connection: TargetConnection | None = None
         self._is_aborted = False
+        # Whether the connection took too long to wait for it.
+        self._is_connect_overdue = False
         # Decoded lazily; None before the reply has arrived.
         self._metadata: ReplyMetadata | None = None
         target.health.in_flight[self] = self.started_at
@@ -71,6 +73,11 @@
         loop = asyncio.get_running_loop()
         loop.call_later(_ABANDON_GRACE_S, self._abort)
 
+    def stop_connecting(self) -> None:
+        """Cancel an attempt whose connection takes unusually long."""
+        self._is_connect_overdue = True
+        self.future.cancel()
+
     def read_metadata(self, reply: Reply) -> ReplyMetadata:
         """Return the decoded metadata of the reply."""
         if self._metadata is None:
@@ -125,7 +132,7 @@
             self.target.record_connect_failure()
         elif self._is_aborted:
             # Lower bound: the reply would have taken at least this long.
-            self._on_reply(self, duration_ms)
+            self._on_reply(self.target, duration_ms)
         elif isinstance(error, TargetError):
             self._handle_failure(error)
         if self._connection is not None:
@@ -148,7 +155,7 @@
     def _settle_cancelled(self, duration_ms: float) -> None:
         if self._connection is not None:
             self._connection.close()
-        elif duration_ms > _TYPICAL_CONNECT_MS:
+        elif self._is_connect_overdue or duration_ms > _TYPICAL_CONNECT_MS:
             # The target did not accept the connection in a normal time.
             self.target.record_failure()
 
@@ -158,6 +165,6 @@
         if metadata.load is not None:
             health.record_load(metadata.load)
         if metadata.signature and reply.status < 300:
-            self._on_reply(self, duration_ms)
+            self._on_reply(self.target, duration_ms)
         else:
             self.target.record_failure()
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -8,16 +8,12 @@
 
 from shallotgate.aio import Reply
 from shallotgate.errors import TargetConnectError, TargetProtocolError
-from shallotgate.extras import RetryBudget
 from shallotgate.gateway._attempt import Attempt
 from shallotgate.gateway._call import Call
-from shallotgate.gateway._directory import Directory, Target
-from shallotgate.gateway._latency import LatencyWindow
-from shallotgate.gateway._retry_grants import RetryGrantSource
-from shallotgate.gateway._target_chooser import Pace, TargetChooser
+from shallotgate.gateway._directory import Target
+from shallotgate.gateway._dispatch_contexts import DispatchContext
+from shallotgate.gateway._extra_permit import ExtraPermit
 from shallotgate.gateway._wakeup import Wakeup
-from shallotgate.gateway._warm_up import WarmUpLimiter
-from shallotgate.gateway._wire import WireCodec
 
 _MS_PER_S = 1000
 # Maximum attempts of one request on one service, including those that never
@@ -34,20 +30,12 @@
 # A request suspected of crashing targets is held for this many medians: most
 # targets that process it have answered by then.
 _HOLD_MEDIANS = 2.0
-# Concurrent requests that an entry may send to one target even if its share of
-# the connection limit is smaller. Few entries need several at the same time,
-# and connections beyond the first are closed immediately.
-_MAX_CONCURRENT = 3
-# Idle timeout, in seconds, of connections to a target in another failure domain
-# when it accepts fewer connections than there are entries. Limits the number of
-# connections when many entries fail over to one target, and still lets a
-# connection serve several requests in a row.
-_REMOTE_IDLE_TIMEOUT_S = 1.0
-# The same for the last remaining target, in any failure domain.
-_LAST_TARGET_IDLE_TIMEOUT_S = 0.5
 # A hedge that ``may_hedge`` refuses is sent after this multiple of the hedge
 # delay: any later, it would miss most objectives.
 _FORCED_HEDGE_FACTOR = 2.0
+# A connection is waited for at least this multiple of the usual time to set one
+# up, before the attempt is replaced.
+_CONNECT_PATIENCE = 4.0
 # Minimum hedge delay in milliseconds: the resolution of timers.
 _HEDGE_MIN_MS = 3.0
 
@@ -62,69 +50,6 @@
     signature: bytes = b''
 
 
-@dataclass(frozen=True, eq=False)
-class DispatchContext:
-    """Dependencies of the dispatches of one route to one service."""
-
-    wire: WireCodec
-    directory: Directory
-    chooser: TargetChooser
-    budget: RetryBudget
-    # Grants extra attempts when the local budget is exhausted.
-    retry_grants: RetryGrantSource
-    # Durations of recent replies to the route.
-    latency: LatencyWindow
-    # Failure domain of this entry.
-    domain: str
-    # Maximum connections of this entry to one target.
-    max_connections: int
-    # Whether a target accepts fewer connections than there are entries.
-    are_connections_scarce: bool
-    warm_up: WarmUpLimiter
-    on_event: Callable[[str], None]
-
-    def has_room(self, target: Target, median_ms: float, now: float) -> bool:
-        """Return whether the target may receive another request.
-
-        Beyond this entry's share of the connections it may receive a few more,
-        as long as the oldest attempt takes no longer than usual: a target that
-        hangs gets none.
-        """
-        health = target.health
-        if len(health.in_flight) < self.max_connections:
-            return True
-        is_waiting = health.get_stall_ms(now) > median_ms
-        return len(health.in_flight) < _MAX_CONCURRENT and not is_waiting
-
-    def get_idle_timeout_s(self, target: Target) -> float | None:
-        """Return how long a connection is kept after use; None for no limit.
-
-        If a target accepts fewer connections than there are entries, an entry
-        keeps one without limit only if the target is in its own failure
-        domain or if that domain has no target left. A last remaining target
-        receives the requests of all entries, so its idle timeout is short.
-        """
-        if not self.are_connections_scarce:
-            return None
-        if target.pool.size > 1:
-            # Others are open, so this one is closed.
-            return 0
-        now = time.monotonic()
-        usable = [
-            candidate
-            for candidate in self.directory.list_usable(target.listed.service)
-            if candidate.health.is_reachable(now)
-        ]
-        if len(usable) == 1:
-            return _LAST_TARGET_IDLE_TIMEOUT_S
-        if target.listed.domain == self.domain:
-            return None
-        is_domain_usable = any(
-            candidate.listed.domain == self.domain for candidate in usable
-        )
-        return _REMOTE_IDLE_TIMEOUT_S if is_domain_usable else None
-
-
 class Dispatch:
     """Runs one request on one service; ``run`` is called once."""
 
@@ -148,10 +73,9 @@
         self._sends = 0
         # Attempts that failed to connect, so that nothing was sent.
         self._unsent = 0
-        # Whether a request for a grant is pending at the leader, and whether a
-        # received grant is unused.
-        self._is_grant_pending = False
-        self._has_grant = False
+        self._extra = ExtraPermit(
+            context, service, call.trace, self._wakeup.wake
+        )
         # Monotonic time until which the next attempt is held; 0 if it is not.
         self._held_until: float = 0
         # Attempts that ran or may have run.
@@ -164,7 +88,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have started the request."""
-        return self._runs > 0
+        return self._count_sent() > 0
 
     async def run(self) -> Outcome:
         """Return the first answer, or the reason why there is none."""
@@ -172,22 +96,26 @@
         try:
             while (
                 self._live
-                or self._is_grant_pending
-                or self._has_grant
+                or self._extra.is_pending
+                or self._extra.is_granted
                 or self._held_until
             ):
                 outcome = await self._advance()
                 if outcome is not None:
                     return outcome
         finally:
-            for attempt in self._live.values():
-                attempt.abandon()
+            self.abandon()
         return self._conclude()
 
+    def abandon(self) -> None:
+        """Give up the attempts in flight; those not sent yet never are."""
+        for attempt in self._live.values():
+            attempt.abandon()
+
     async def _advance(self) -> Outcome | None:
         """Wait for the next event and handle it."""
         now = time.monotonic()
-        is_due = self._has_grant and not self._held_until
+        is_due = self._extra.is_granted and not self._held_until
         if not (self._settled or is_due):
             wake_at = min(self._hedge_at, self._call.deadline)
             await self._wakeup.wait(wake_at - now)
@@ -197,7 +125,8 @@
             return outcome
         if time.monotonic() >= self._call.deadline:
             return self._conclude()
-        if self._has_grant or self._held_until or (done and not self._live):
+        is_next_due = self._extra.is_granted or self._held_until
+        if is_next_due or (done and not self._live):
             self._send_next(time.monotonic())
         elif not done and time.monotonic() >= self._hedge_at:
             self._hedge()
@@ -221,8 +150,7 @@
             self._call.trace.add('suspected', service=self._service)
         else:
             self._try_send()
-        # A grant that cannot be used now expires.
-        self._has_grant = False
+        self._extra.expire()
 
     def process_settled(self) -> Outcome | None:
         """Process the completed attempts; return the first answer.
@@ -243,8 +171,17 @@
         self._wakeup.wake()
 
     def _hedge(self) -> None:
-        """Send a hedge if the route and ``may_hedge`` allow it."""
+        """Send a hedge if the route and ``may_hedge`` allow it.
+
+        An attempt that still waits for its connection is replaced instead: it
+        has not been sent, so the next one is no extra load.
+        """
         now = time.monotonic()
+        is_connecting = self._live and not self._count_sent()
+        is_replaceable = is_connecting and self._sends < _MAX_SENDS
+        if is_replaceable and self._choose() is not None:
+            self._replace_unsent(now)
+            return
         is_repeatable = self._call.route.is_repeatable
         if (
             is_repeatable
@@ -258,6 +195,33 @@
         if is_repeatable:
             self._try_send()
 
+    def _count_sent(self) -> int:
+        """Return how many attempts ran or may have run."""
+        waiting = [each for each in self._live.values() if not each.is_sent]
+        return self._runs - len(waiting)
+
+    def _replace_unsent(self, now: float) -> None:
+        """Replace the attempt that waits for a connection by another one.
+
+        A connection that may still be set up in a normal time is waited for.
+        """
+        for future, attempt in list(self._live.items()):
+            connect_s = attempt.target.pool.acquire_ms / _MS_PER_S
+            patient_until = attempt.started_at + connect_s * _CONNECT_PATIENCE
+            if now < patient_until:
+                self._hedge_at = patient_until
+                return
+            self._live.pop(future)
+            future.remove_done_callback(self._handle_settled)
+            attempt.stop_connecting()
+            self._runs -= 1
+            self._unsent += 1
+            self._call.trace.add(
+                'not_connected', target=attempt.target.listed.target
+            )
+        self._hedge_at = float('inf')
+        self._try_send()
+
     def _try_send(self) -> bool:
         """Start another attempt if target, budget and route allow it."""
         route = self._call.route
@@ -270,54 +234,14 @@
             return False
         # Only attempts after one that reached a target count as extra load.
         is_extra = self._sends > self._unsent
-        if is_extra and not self._acquire_extra():
+        if is_extra and not self._extra.acquire():
             return False
         self._send(target)
         return True
 
-    def _acquire_extra(self) -> bool:
-        """Acquire an extra attempt from the budget or from the leader.
-
-        Without a local budget a grant is requested, and the result arrives
-        later.
-        """
-        context = self._context
-        if self._has_grant:
-            return True
-        if context.budget.try_spend(time.monotonic()):
-            return True
-        if not self._is_grant_pending:
-            self._is_grant_pending = True
-            self._call.trace.add('asked_for_extra', service=self._service)
-            context.retry_grants.request(
-                self._service, self._handle_grant_result
-            )
-        return False
-
-    def _handle_grant_result(self, is_granted: bool) -> None:
-        """Handle the result of a request for a grant."""
-        self._is_grant_pending = False
-        self._has_grant = is_granted
-        if not is_granted:
-            self._call.trace.add('no_budget', service=self._service)
-        self._context.on_event('extra_lent' if is_granted else 'extra_denied')
-        self._wakeup.wake()
-
     def _choose(self) -> Target | None:
-        context = self._context
-        now = time.monotonic()
-        median_ms = context.latency.quantile(0.5)
-        usable = [
-            target
-            for target in context.directory.list_usable(self._service)
-            if context.has_room(target, median_ms, now)
-            and context.warm_up.allows(target, now)
-        ]
-        return context.chooser.choose(
-            usable,
-            self._tried,
-            Pace(median_ms, self._call.route.objective_ms),
-            now,
+        return self._context.choose(
+            self._service, self._tried, self._call.route.objective_ms
         )
 
     def _send(self, target: Target) -> None:
@@ -328,7 +252,7 @@
             context.wire,
             self._call,
             target,
-            self._record_reply,
+            context.record_reply,
             context.get_idle_timeout_s,
         )
         context.warm_up.record_sent(target, now)
@@ -354,11 +278,6 @@
         self._hedge_at = now + wait_ms / _MS_PER_S
         self._hedge_forced_at = now + wait_ms / _MS_PER_S * _FORCED_HEDGE_FACTOR
 
-    def _record_reply(self, attempt: Attempt, duration_ms: float) -> None:
-        latency = self._context.latency
-        attempt.target.record_reply(duration_ms, latency.quantile(0.5))
-        latency.add(duration_ms)
-
     def _process(self, future: 'asyncio.Future[Reply]') -> Outcome | None:
         """Process a completed attempt; return the outcome if it is final."""
         attempt = self._live.pop(future)
@@ -391,7 +310,8 @@
         return None
 
     def _conclude(self) -> Outcome:
-        if self._live or (self._runs and self._failure is None):
+        is_open = any(attempt.is_sent for attempt in self._live.values())
+        if is_open or (self._count_sent() and self._failure is None):
             return Outcome('unknown')
         if self._failure is not None:
             return Outcome('failed', self._failure)
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -2,16 +2,17 @@
 
 import random
 import time
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
 from shallotgate.extras import RetryBudget
 from shallotgate.gateway._active_table import retain_known
-from shallotgate.gateway._directory import Directory
-from shallotgate.gateway._dispatch import DispatchContext
+from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
-from shallotgate.gateway._target_chooser import TargetChooser
+from shallotgate.gateway._target_chooser import Pace, TargetChooser
 from shallotgate.gateway._warm_up import WarmUpLimiter
 from shallotgate.gateway._wire import WireCodec
 from shallotgate.routes import Route, RoutingTable, Service
@@ -21,6 +22,101 @@
 # Initial estimate of the reply duration, as a share of the objective. The first
 # replies of an entry also include connection setup.
 _INITIAL_LATENCY_SHARE = 0.25
+# Concurrent requests that an entry may send to one target even if its share of
+# the connection limit is smaller. Few entries need several at the same time,
+# and connections beyond the first are closed immediately.
+_MAX_CONCURRENT = 3
+# Idle timeout, in seconds, of connections to a target in another failure domain
+# when it accepts fewer connections than there are entries. Limits the number of
+# connections when many entries fail over to one target, and still lets a
+# connection serve several requests in a row.
+_REMOTE_IDLE_TIMEOUT_S = 1.0
+# The same for the last remaining target, in any failure domain.
+_LAST_TARGET_IDLE_TIMEOUT_S = 0.5
+
+
+@dataclass(frozen=True, eq=False)
+class DispatchContext:
+    """Dependencies of the dispatches of one route to one service."""
+
+    wire: WireCodec
+    directory: Directory
+    chooser: TargetChooser
+    budget: RetryBudget
+    # Grants extra attempts when the local budget is exhausted.
+    retry_grants: RetryGrantSource
+    # Durations of recent replies to the route.
+    latency: LatencyWindow
+    # Failure domain of this entry.
+    domain: str
+    # Maximum connections of this entry to one target.
+    max_connections: int
+    # Whether a target accepts fewer connections than there are entries.
+    are_connections_scarce: bool
+    warm_up: WarmUpLimiter
+    on_event: Callable[[str], None]
+
+    def choose(
+        self, service: str, tried: Collection[Target], objective_ms: float
+    ) -> Target | None:
+        """Return the best target that was not tried and has room, if any."""
+        now = time.monotonic()
+        median_ms = self.latency.quantile(0.5)
+        usable = [
+            target
+            for target in self.directory.list_usable(service)
+            if self.has_room(target, median_ms, now)
+            and self.warm_up.allows(target, now)
+        ]
+        return self.chooser.choose(
+            usable, tried, Pace(median_ms, objective_ms), now
+        )
+
+    def record_reply(self, target: Target, duration_ms: float) -> None:
+        """Record the duration of a reply, or a lower bound of it."""
+        target.record_reply(duration_ms, self.latency.quantile(0.5))
+        self.latency.add(duration_ms)
+
+    def has_room(self, target: Target, median_ms: float, now: float) -> bool:
+        """Return whether the target may receive another request.
+
+        Beyond this entry's share of the connections it may receive a few more,
+        as long as the oldest attempt takes no longer than usual: a target that
+        hangs gets none.
+        """
+        health = target.health
+        if len(health.in_flight) < self.max_connections:
+            return True
+        is_waiting = health.get_stall_ms(now) > median_ms
+        return len(health.in_flight) < _MAX_CONCURRENT and not is_waiting
+
+    def get_idle_timeout_s(self, target: Target) -> float | None:
+        """Return how long a connection is kept after use; None for no limit.
+
+        If a target accepts fewer connections than there are entries, an entry
+        keeps one without limit only if the target is in its own failure
+        domain or if that domain has no target left. A last remaining target
+        receives the requests of all entries, so its idle timeout is short.
+        """
+        if not self.are_connections_scarce:
+            return None
+        if target.pool.size > 1:
+            # Others are open, so this one is closed.
+            return 0
+        now = time.monotonic()
+        usable = [
+            candidate
+            for candidate in self.directory.list_usable(target.listed.service)
+            if candidate.health.is_reachable(now)
+        ]
+        if len(usable) == 1:
+            return _LAST_TARGET_IDLE_TIMEOUT_S
+        if target.listed.domain == self.domain:
+            return None
+        is_domain_usable = any(
+            candidate.listed.domain == self.domain for candidate in usable
+        )
+        return _REMOTE_IDLE_TIMEOUT_S if is_domain_usable else None
 
 
 class DispatchContextCache:
--- a/shallotgate/gateway/_fan_out.py
+++ b/shallotgate/gateway/_fan_out.py
@@ -88,8 +88,10 @@
         try:
             await self._wait()
         finally:
-            for task in tasks:
+            for task, dispatch in zip(tasks, self._dispatches, strict=True):
                 task.cancel()
+                # Before the result is told, so that nothing is sent after it.
+                dispatch.abandon()
         self._collect_settled(tasks)
         return self._conclude()
 
--- a/shallotgate/gateway/tests/test_dispatch.py
+++ b/shallotgate/gateway/tests/test_dispatch.py
@@ -125,3 +125,35 @@
 
     # 500 first attempts, the ratio of 0.2 and the slack.
     assert run_virtual(play()) <= 500 + 0.2 * 500 + 20
+
+
+def hang(targets):
+    for target in targets:
+        target.is_unresponsive = True
+
+
+def test_request_that_was_never_sent_is_refused_as_not_run():
+    """Guards against an unknown outcome at a deadline during a connect.
+
+    A caller may repeat what is stated as not run.
+    """
+    status, arrivals, _, _ = ask_once(hang, timeout_ms=300, is_repeatable=False)
+    assert (status, arrivals) == (503, 0)
+
+
+@pytest.mark.parametrize('is_repeatable', [True, False])
+def test_target_that_accepts_no_connection_is_replaced(is_repeatable):
+    """Guards against waiting for a connect timeout, and against spending the
+    budget on a request that has not been sent yet."""
+
+    async def play():
+        entry = SimulatedEntry(
+            shards=1, slack=0, is_repeatable=is_repeatable, objective_ms=100
+        )
+        hang(entry.targets['s0'][:2])
+        return await entry.send_request('q')
+
+    answer, duration_ms = run_virtual(play())
+    assert answer.status == 200
+    # Two hedge delays of 2.2 initial medians of 25 ms each, and the service.
+    assert duration_ms < 130
--- a/shallotgate/gateway/tests/test_fan_out.py
+++ b/shallotgate/gateway/tests/test_fan_out.py
@@ -19,6 +19,9 @@
     async def run(self):
         await asyncio.sleep(10)
 
+    def abandon(self):
+        """Nothing is in flight."""
+
     def process_settled(self):
         return Outcome('answered', Reply(200, [], b'r' * 16), b'signature')
 
