Tell entries at once only of conditions that they can act on

Cause: the leader woke all entries whenever the conditions of a target changed. Some of the 189 targets of a large tier pause at any time, and a few delayed requests make a target look slow.

Change: entries are woken if a target becomes severely slow or failing, or many degrade together; they learn the rest with the next reply, after 0.8 s at most. Conditions are sent as the difference from those that an entry has, if it says that it takes them so; entries keep them by name, so that a target that is listed later has its condition too.

--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -64,7 +64,9 @@
         self.reply_stats = ReplyStats(on_report_due)
         # Revision of the target conditions last received; -1 before the first.
         self.conditions_revision = -1
-        # Targets that the leader reported as slow or failing.
+        # Slowness factors and failure rates of targets that the leader reported
+        # as slow or failing, and those of these targets that are listed.
+        self._conditions: dict[str, tuple[float, float]] = {}
         self._degraded: list[Target] = []
         self._targets: dict[str, Target] = {}
         # Targets eligible for new requests, by service.
@@ -94,25 +96,27 @@
         return tuple(self._degraded)
 
     def apply_conditions(self, conditions: TargetConditions | None) -> None:
-        """Replace the conditions of targets; None renews the current ones."""
+        """Apply conditions of targets; None renews the current ones."""
         if conditions is None:
             for target in self._degraded:
                 target.health.renew_shared()
             return
+        if conditions.base_revision < 0:
+            self._conditions.clear()
+        elif conditions.base_revision != self.conditions_revision:
+            # A reply to an earlier question; the next one tells what it lacks.
+            return
         self.conditions_revision = conditions.revision
-        for target in self._degraded:
-            target.health.expire_shared()
-        self._degraded = []
-        for name, factor, failures in zip(
-            conditions.targets,
-            conditions.factors,
-            conditions.failures,
-            strict=True,
-        ):
-            degraded = self._targets.get(name)
-            if degraded is not None:
-                degraded.health.set_shared(factor, failures)
-                self._degraded.append(degraded)
+        for name in conditions.recovered:
+            self._conditions.pop(name, None)
+        self._conditions.update(
+            zip(
+                conditions.targets,
+                zip(conditions.factors, conditions.failures, strict=True),
+                strict=True,
+            )
+        )
+        self._share_conditions()
 
     def update(self, update: ListingUpdate) -> None:
         """Apply a full listing or an incremental update."""
@@ -128,6 +132,7 @@
         self.source = update.source
         self.revision = update.revision
         self._rebuild_usable()
+        self._share_conditions()
 
     def remove_misdirected(self, target: Target) -> None:
         """Remove a target whose address now belongs to another one."""
@@ -137,6 +142,17 @@
         self._remove(name)
         self._rebuild_usable()
 
+    def _share_conditions(self) -> None:
+        """Pass the conditions on to the listed targets."""
+        for target in self._degraded:
+            target.health.expire_shared()
+        self._degraded = []
+        for name, condition in self._conditions.items():
+            degraded = self._targets.get(name)
+            if degraded is not None:
+                degraded.health.set_shared(*condition)
+                self._degraded.append(degraded)
+
     def _rebuild_usable(self) -> None:
         """Recompute the targets that may receive new requests."""
         self._usable = {}
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -163,6 +163,7 @@
             leaving=self._is_leaving,
             observed=self._directory.reply_stats.drain(),
             conditions_revision=self._directory.conditions_revision,
+            merges_conditions=True,
             entries=self._gateway.entries,
         )
 
--- a/shallotgate/registry/_conditions.py
+++ b/shallotgate/registry/_conditions.py
@@ -2,6 +2,7 @@
 
 import math
 import threading
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from shallotgate.generated.messages import ObservedReplies, TargetConditions
@@ -17,6 +18,14 @@
 # Thresholds of a degraded target, above the normal variance.
 _SLOW_FACTOR = 1.7
 _FAILING_SHARE = 0.15
+# Thresholds of a change that entries are told at once. A pause of a target that
+# delays a few requests stays below; it ends before they could avoid it.
+_URGENT_FACTOR = 2.0
+_URGENT_FAILING_SHARE = 0.3
+# Targets that degrade at once, at least and as a share of those with recent
+# replies, from which on the cause is common and not a pause of each.
+_URGENT_COUNT = 4
+_URGENT_COUNT_SHARE = 0.02
 # Decayed number of replies required to update the condition of a target.
 _MIN_REPLIES = 2.0
 # A degraded target without new replies is probed after this delay, which
@@ -29,12 +38,14 @@
 # Statistics without a new reply are evicted after this time, when they have
 # decayed to nearly zero.
 _STATS_RETENTION_S = 10.0
-# Minimum interval between publications, as each sends a message to every
-# entry.
+# Minimum interval between publications, as an urgent one sends a message to
+# every entry.
 _PUBLISH_INTERVAL_S = 0.15
 # Relative change of a slowness factor, and absolute change of a failure rate,
 # up to which the condition is not published again.
 _MIN_CHANGE = 0.3
+# Retained publications: an entry that is further behind gets all conditions.
+_MAX_RETAINED = 64
 
 
 @dataclass(frozen=True)
@@ -44,6 +55,14 @@
     # Failure rate, 0 to 1.
     failures: float
 
+    @property
+    def is_severe(self) -> bool:
+        """Whether entries should avoid the target at once."""
+        return (
+            self.factor >= _URGENT_FACTOR
+            or self.failures >= _URGENT_FAILING_SHARE
+        )
+
 
 @dataclass
 class _Degradation:
@@ -97,7 +116,12 @@
         # Last probe delay and probe time by target.
         self._probed: dict[str, tuple[float, float]] = {}
         self._published: dict[str, _Condition] = {}
+        # Former publications by revision.
+        self._history: OrderedDict[int, dict[str, _Condition]] = OrderedDict()
         self._published_at = float('-inf')
+        self._first_revision = first_revision
+        # Newest revision that followers are told at once.
+        self._urgent_revision = first_revision
         self.revision = first_revision
 
     def record_replies(self, observed: ObservedReplies, now: float) -> None:
@@ -118,7 +142,12 @@
                 self._update_condition(target, stats, now)
 
     def publish(self, now: float) -> bool:
-        """Advance the revision if conditions changed; return whether it did."""
+        """Advance the revision if conditions changed.
+
+        Returns whether followers should be told at once: a target became
+        severely degraded, or many degraded together. They learn all other
+        changes with the next reply.
+        """
         with self._lock:
             if now - self._published_at < _PUBLISH_INTERVAL_S:
                 return False
@@ -130,24 +159,66 @@
             if not _has_changed(self._published, current):
                 return False
             self._log_changes(current)
+            is_urgent = self._has_urgent_change(current)
+            self._history[self.revision] = self._published
+            while len(self._history) > _MAX_RETAINED:
+                self._history.popitem(last=False)
             self._published = current
             self._published_at = now
             self.revision += 1
-            return True
+            if is_urgent:
+                self._urgent_revision = self.revision
+            return is_urgent
 
-    def make_update(self, known_revision: int) -> TargetConditions | None:
-        """Return the conditions, or None if the follower is up to date."""
+    def is_urgent(self, known_revision: int) -> bool:
+        """Return whether a follower lacks a change that is told at once.
+
+        One with a revision of another leader lacks all of them.
+        """
+        with self._lock:
+            is_own = self._first_revision <= known_revision <= self.revision
+            return not is_own or known_revision < self._urgent_revision
+
+    def make_update(
+        self, known_revision: int, *, merges: bool = False
+    ) -> TargetConditions | None:
+        """Return the conditions, or None if the follower is up to date.
+
+        ``merges`` tells whether the follower takes a difference.
+        """
         with self._lock:
             if known_revision == self.revision:
                 return None
-            published = self._published.values()
+            base = self._history.get(known_revision) if merges else None
+            known = base or {}
+            changed = {
+                target: condition
+                for target, condition in self._published.items()
+                if known.get(target) != condition
+            }
             return TargetConditions(
                 revision=self.revision,
-                targets=list(self._published),
-                factors=[round(each.factor, 2) for each in published],
-                failures=[round(each.failures, 2) for each in published],
+                targets=list(changed),
+                factors=[round(each.factor, 2) for each in changed.values()],
+                failures=[round(each.failures, 2) for each in changed.values()],
+                base_revision=-1 if base is None else known_revision,
+                recovered=[
+                    target for target in known if target not in self._published
+                ],
             )
 
+    def _has_urgent_change(self, current: dict[str, _Condition]) -> bool:
+        degraded = current.keys() - self._published.keys()
+        least = max(_URGENT_COUNT, len(self._stats) * _URGENT_COUNT_SHARE)
+        return len(degraded) >= least or any(
+            condition.is_severe and not self._is_published_severe(target)
+            for target, condition in current.items()
+        )
+
+    def _is_published_severe(self, target: str) -> bool:
+        published = self._published.get(target)
+        return published is not None and published.is_severe
+
     def _update_condition(
         self, target: str, stats: _ReplyStats, now: float
     ) -> None:
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -154,12 +154,13 @@
         if not self._log.is_leading():
             self._redirect(pending)
             return
-        update = self._make_update(pending.delivery.message)
+        message = pending.delivery.message
+        update = self._make_update(message)
         has_changes = (
             update.table
             or update.domains
             or update.listing
-            or update.conditions
+            or self._conditions.is_urgent(message.conditions_revision)
         )
         if (
             has_changes
@@ -208,6 +209,7 @@
             ),
             conditions=self._conditions.make_update(
                 message.conditions_revision,
+                merges=message.merges_conditions,
             ),
         )
 
--- a/testkit/gateway/_tier.py
+++ b/testkit/gateway/_tier.py
@@ -93,16 +93,20 @@
         while True:  # noqa: WPS457 - until it is cancelled
             self._send_report(entry)
             until = loop.time() + _LONG_POLL_S
-            update = None
-            while update is None and loop.time() < until:
+            is_urgent = False
+            while not is_urgent and loop.time() < until:
                 await asyncio.sleep(_CHECK_INTERVAL_S)  # noqa: WPS476 - polls
                 if entry.directory.reply_stats.is_report_due:
                     self._send_report(entry)
                 self._conditions.publish(loop.time())
-                update = self._conditions.make_update(
-                    entry.directory.conditions_revision,
+                is_urgent = self._conditions.is_urgent(
+                    entry.directory.conditions_revision
                 )
-            entry.directory.apply_conditions(update)
+            entry.directory.apply_conditions(
+                self._conditions.make_update(
+                    entry.directory.conditions_revision, merges=True
+                )
+            )
 
     def _send_report(self, entry: SimulatedEntry) -> None:
         observed = entry.directory.reply_stats.drain()
