Refuse a query at once if too few shards have a target

Cause: an entry sent a query to all shards that had a target and only then saw that too few of them had one. It answered 502 within milliseconds, after the others had begun to work, and a 502 does not tell the caller that nothing is known to be wrong with the query. Most of these states belong to one entry: its share of connections in use, back-offs after its own connects.

Change: the targets of all first attempts are chosen before any is sent; if too few shards have one, the query is refused as not run, and the caller may try another entry.

Test: two of ten shards down, eight with open connections: 502 before, 503 and no target asked now. One shard down is left out as before (passed before too).

--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Literal
 
 from shallotgate.aio import Reply
@@ -69,7 +70,12 @@
         # Completed attempts that are not processed yet.
         self._settled: list[asyncio.Future[Reply]] = []
         self._wakeup = Wakeup()
+        # Target that was chosen for the first attempt.
+        self._reserved: Target | None = None
         self._tried: list[Target] = []
+        self._choose = partial(
+            context.choose, service, self._tried, call.route.objective_ms
+        )
         self._sends = 0
         # Attempts that failed to connect, so that nothing was sent.
         self._unsent = 0
@@ -90,6 +96,14 @@
         """Whether a target may have started the request."""
         return self._count_sent() > 0
 
+    def reserve_target(self) -> bool:
+        """Choose the target of the first attempt; return whether there is one.
+
+        Called right before ``run``.
+        """
+        self._reserved = self._choose()
+        return self._reserved is not None
+
     async def run(self) -> Outcome:
         """Return the first answer, or the reason why there is none."""
         self._try_send()
@@ -228,7 +242,8 @@
         limit = route.max_attempts if route.is_repeatable else 1
         if self._runs >= limit or self._sends >= _MAX_SENDS:
             return False
-        target = self._choose()
+        target = self._reserved or self._choose()
+        self._reserved = None
         if target is None:
             self._call.trace.add('no_target', service=self._service)
             return False
@@ -239,11 +254,6 @@
         self._send(target)
         return True
 
-    def _choose(self) -> Target | None:
-        return self._context.choose(
-            self._service, self._tried, self._call.route.objective_ms
-        )
-
     def _send(self, target: Target) -> None:
         context = self._context
         now = time.monotonic()
--- a/shallotgate/gateway/_fan_out.py
+++ b/shallotgate/gateway/_fan_out.py
@@ -80,7 +80,16 @@
         self._is_late = False
 
     async def run(self) -> FanOutResult:
-        """Return an answer by the objective if possible, else later."""
+        """Return an answer by the objective if possible, else later.
+
+        If too few shards have a target now, no target is asked: the caller may
+        find another entry in a better state.
+        """
+        if sum(each.reserve_target() for each in self._dispatches) < (
+            self._needed
+        ):
+            self._call.trace.add('too_few_targets', needed=self._needed)
+            return FanOutResult('not_run')
         tasks = [
             asyncio.ensure_future(self._collect(dispatch))
             for dispatch in self._dispatches
--- a/shallotgate/gateway/tests/test_fan_out.py
+++ b/shallotgate/gateway/tests/test_fan_out.py
@@ -8,6 +8,7 @@
 from shallotgate.gateway._dispatch import Outcome
 from shallotgate.gateway._fan_out import FanOut
 from shallotgate.routes import Route
+from testkit.gateway import SimulatedEntry
 from testkit.virtual import run_virtual
 
 
@@ -19,6 +20,9 @@
     async def run(self):
         await asyncio.sleep(10)
 
+    def reserve_target(self):
+        return True
+
     def abandon(self):
         """Nothing is in flight."""
 
@@ -58,3 +62,46 @@
     assert gathered.status == 'answered'
     assert gathered.missing == 0
     assert gathered.body == b'r' * 16
+
+
+def test_too_few_shards_with_a_target_cost_the_others_nothing():
+    """Guards against work at most shards for an answer that can't be made.
+
+    It ended with a failure that does not tell that another entry may serve the
+    request, and the callers' retries met the same targets again.
+    """
+
+    async def play():
+        entry = SimulatedEntry(shards=10, min_coverage=0.9)
+        for service in ('s3', 's7'):
+            for target in entry.targets[service]:
+                target.is_up = False
+        await entry.send_request('finds the targets down')
+        # The other shards answer and leave open connections.
+        await asyncio.sleep(0.05)
+        asked = sum(len(each.received_ids) for each in entry.list_all_targets())
+        response, duration_ms = await entry.send_request('q')
+        await asyncio.sleep(0.05)
+        asked -= sum(
+            len(each.received_ids) for each in entry.list_all_targets()
+        )
+        return response, duration_ms, asked
+
+    response, duration_ms, asked = run_virtual(play())
+    assert response.status == 503
+    assert (asked, duration_ms) == (0, 0)
+
+
+def test_one_shard_without_a_target_is_left_out():
+    """Guards against a refusal although enough shards can answer."""
+
+    async def play():
+        entry = SimulatedEntry(shards=10, min_coverage=0.9)
+        for target in entry.targets['s3']:
+            target.is_up = False
+        await entry.send_request('finds the targets down')
+        return await entry.send_request('q')
+
+    response, _ = run_virtual(play())
+    assert response.status == 200
+    assert dict(response.headers)[b'missing'] == b'1'
