Make the claimed drain arrive before attempts that deny it

Cause: the test of a report that claims a drain relied on chance: the owner reads a report only after 2 s without a reply, and a reply can deny the claim only in the 2 s after that. On a busy machine the slowed target got no attempt in that time, which the design allows, and mostly the report was not read at all.

Change: the test stops the load until the stand-in has served a report that claims the drain, then starts it again with all targets alike, and looks once more after the claim would have taken effect. It is stricter: the claim is always read, and all queries must be complete. Stand-ins count their reports.

--- a/testkit/standin/_server.py
+++ b/testkit/standin/_server.py
@@ -107,6 +107,7 @@
         if (method, path) == (b'POST', b'/v1/run'):
             return self._run(client, msgspec.json.decode(body))
         if (method, path) == (b'GET', b'/v1/status'):
+            self._target.count('reports')
             return _encode('ok', self._target.report())
         if path == b'/v1/admin':
             edits = msgspec.json.decode(body) if body else {}
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -20,8 +20,6 @@
 
 LEAVING = 'trace-0-b'
 ENTRIES = len(DOMAINS)
-STALL_MS = 900
-SLOW_MS = 100
 
 
 class PlatformStandIn(http.server.ThreadingHTTPServer):
@@ -143,26 +141,29 @@
 
 
 def test_report_that_claims_a_drain_is_not_believed():
-    """Guards against a false drain report that replies contradict."""
+    """Guards against a false drain report that replies contradict.
+
+    The report is read while the target is idle, and the attempts that follow
+    are answered before it takes effect.
+    """
     with run_loaded(make_deployment()) as (tier, load):
-        # Attempts that wait for the end of the stall are answered after the
-        # report, so that replies deny what it claims.
-        set_target_behavior(
-            tier,
-            LEAVING,
-            lie={'draining': True},
-            stall_ms=STALL_MS,
-            service_ms=SLOW_MS,
-            reset=True,
-        )
-        time.sleep(PROPAGATION_BOUND_S)
-        first = set_target_behavior(tier, LEAVING)['ran']
-        load.wait_further(300)
-        assert not list_draining(tier)
-        # It is cold and slow by now, so that entries seldom choose it.
+        load.stop()
+        set_target_behavior(tier, LEAVING, lie={'draining': True}, reset=True)
         wait_until(
-            lambda: set_target_behavior(tier, LEAVING)['ran'] > first,
+            lambda: set_target_behavior(tier, LEAVING)['reports'] > 0,
             WAIT_TIMEOUT_S,
-            f'further work for {LEAVING}',
+            f'a report of {LEAVING} that claims a drain',
         )
+        again = TraceLoad(tier, seed=load.seed + 1)
+        again.start()
+        since = time.monotonic()
+        again.wait_further(300)
+        assert not list_draining(tier)
+        first = set_target_behavior(tier, LEAVING)['ran']
+        # Later than the claim would take effect.
+        time.sleep(PROPAGATION_BOUND_S)
+        again.wait_further(300)
         assert not list_draining(tier)
+        assert set_target_behavior(tier, LEAVING)['ran'] > first
+        again.stop()
+        assert set(again.count(since)) == {'complete'}
