Keep the connections of few entries within the limit of a target

Cause: an entry may have three requests at one target even if its share of the connections is less, and kept all connections idle where the share is one or two. And since a query chose the targets of all shards before its tasks sent anything, so that two queries that arrive together took the same room.

Change: with a share of one connection or more, an entry has no more requests at a target than all of them together can; a connection beyond the share is closed after use. The first attempts of a query are sent where they are chosen, without a wait in between. On deployments whose share is below one or at least three nothing else changes.

--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -70,6 +70,7 @@
         # Completed attempts that are not processed yet.
         self._settled: list[asyncio.Future[Reply]] = []
         self._wakeup = Wakeup()
+        self._is_started = False
         # Target that was chosen for the first attempt.
         self._reserved: Target | None = None
         self._tried: list[Target] = []
@@ -92,21 +93,29 @@
         self._hedge_forced_at = float('inf')
 
     @property
-    def may_have_run(self) -> bool:
-        """Whether a target may have started the request."""
-        return self._count_sent() > 0
+    def sent_count(self) -> int:
+        """Number of attempts that ran or may have run."""
+        waiting = [each for each in self._live.values() if not each.is_sent]
+        return self._runs - len(waiting)
 
     def reserve_target(self) -> bool:
         """Choose the target of the first attempt; return whether there is one.
 
-        Called right before ``run``.
+        ``start`` has to follow without a wait, so that no other request gets
+        the same room at the target.
         """
         self._reserved = self._choose()
         return self._reserved is not None
 
+    def start(self) -> None:
+        """Send the first attempt."""
+        self._is_started = True
+        self._try_send()
+
     async def run(self) -> Outcome:
         """Return the first answer, or the reason why there is none."""
-        self._try_send()
+        if not self._is_started:
+            self.start()
         try:
             while (
                 self._live
@@ -191,7 +200,7 @@
         has not been sent, so the next one is no extra load.
         """
         now = time.monotonic()
-        is_connecting = self._live and not self._count_sent()
+        is_connecting = self._live and not self.sent_count
         is_replaceable = is_connecting and self._sends < _MAX_SENDS
         if is_replaceable and self._choose() is not None:
             self._replace_unsent(now)
@@ -209,11 +218,6 @@
         if is_repeatable:
             self._try_send()
 
-    def _count_sent(self) -> int:
-        """Return how many attempts ran or may have run."""
-        waiting = [each for each in self._live.values() if not each.is_sent]
-        return self._runs - len(waiting)
-
     def _replace_unsent(self, now: float) -> None:
         """Replace the attempt that waits for a connection by another one.
 
@@ -321,7 +325,7 @@
 
     def _conclude(self) -> Outcome:
         is_open = any(attempt.is_sent for attempt in self._live.values())
-        if is_open or (self._count_sent() and self._failure is None):
+        if is_open or (self.sent_count and self._failure is None):
             return Outcome('unknown')
         if self._failure is not None:
             return Outcome('failed', self._failure)
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -23,8 +23,9 @@
 # replies of an entry also include connection setup.
 _INITIAL_LATENCY_SHARE = 0.25
 # Concurrent requests that an entry may send to one target even if its share of
-# the connection limit is smaller. Few entries need several at the same time,
-# and connections beyond the first are closed immediately.
+# the connection limit is smaller, as long as all entries together can. With a
+# share below one connection, few of them need several at the same time.
+# Connections beyond the share are closed after use.
 _MAX_CONCURRENT = 3
 # Idle timeout, in seconds, of connections to a target in another failure domain
 # when it accepts fewer connections than there are entries. Limits the number of
@@ -51,6 +52,8 @@
     domain: str
     # Maximum connections of this entry to one target.
     max_connections: int
+    # Maximum requests of this entry in flight at one target.
+    max_concurrent: int
     # Whether a target accepts fewer connections than there are entries.
     are_connections_scarce: bool
     warm_up: WarmUpLimiter
@@ -88,21 +91,21 @@
         if len(health.in_flight) < self.max_connections:
             return True
         is_waiting = health.get_stall_ms(now) > median_ms
-        return len(health.in_flight) < _MAX_CONCURRENT and not is_waiting
+        return len(health.in_flight) < self.max_concurrent and not is_waiting
 
     def get_idle_timeout_s(self, target: Target) -> float | None:
         """Return how long a connection is kept after use; None for no limit.
 
-        If a target accepts fewer connections than there are entries, an entry
-        keeps one without limit only if the target is in its own failure
-        domain or if that domain has no target left. A last remaining target
-        receives the requests of all entries, so its idle timeout is short.
+        One beyond the share of this entry is closed. If a target accepts fewer
+        connections than there are entries, an entry keeps one without limit
+        only if the target is in its own failure domain or if that domain has
+        no target left. A last remaining target receives the requests of all
+        entries, so its idle timeout is short.
         """
+        if target.pool.size > self.max_connections:
+            return 0
         if not self.are_connections_scarce:
             return None
-        if target.pool.size > 1:
-            # Others are open, so this one is closed.
-            return 0
         now = time.monotonic()
         usable = [
             candidate
@@ -189,11 +192,11 @@
         return latency
 
     def _create(self, route: Route, service: Service) -> DispatchContext:
-        connections: float = 0
-        if self.entries:
-            connections = (
-                service.max_connections * _CONNECTIONS_SHARE / self.entries
-            )
+        per_entry = service.max_connections / max(self.entries, 1)
+        connections = per_entry * _CONNECTIONS_SHARE if self.entries else 0
+        max_concurrent = _MAX_CONCURRENT
+        if connections >= 1:
+            max_concurrent = min(max_concurrent, int(per_entry))
         return DispatchContext(
             wire=self._wire,
             directory=self._directory,
@@ -203,6 +206,7 @@
             latency=self.get_latency(route),
             domain=self._options.domain,
             max_connections=max(int(connections), 1),
+            max_concurrent=max_concurrent,
             are_connections_scarce=connections < 1,
             warm_up=WarmUpLimiter(
                 service.warm_up_per_s,
--- a/shallotgate/gateway/_fan_out.py
+++ b/shallotgate/gateway/_fan_out.py
@@ -90,6 +90,8 @@
         ):
             self._call.trace.add('too_few_targets', needed=self._needed)
             return FanOutResult('not_run')
+        for each in self._dispatches:
+            each.start()
         tasks = [
             asyncio.ensure_future(self._collect(dispatch))
             for dispatch in self._dispatches
@@ -157,7 +159,7 @@
                     self._call.route.top_count,
                 ),
             )
-        if not any(dispatch.may_have_run for dispatch in self._dispatches):
+        if not any(dispatch.sent_count for dispatch in self._dispatches):
             return FanOutResult('not_run')
         if time.monotonic() >= self._call.deadline:
             return FanOutResult('late')
--- a/shallotgate/gateway/tests/test_fan_out.py
+++ b/shallotgate/gateway/tests/test_fan_out.py
@@ -15,7 +15,7 @@
 class LateDispatch:
     """Has a reply that its task has not processed by the deadline."""
 
-    may_have_run = True
+    sent_count = 1
 
     async def run(self):
         await asyncio.sleep(10)
@@ -23,6 +23,9 @@
     def reserve_target(self):
         return True
 
+    def start(self):
+        """The reply is there already."""
+
     def abandon(self):
         """Nothing is in flight."""
 
--- a/shallotgate/gateway/tests/test_many_entries.py
+++ b/shallotgate/gateway/tests/test_many_entries.py
@@ -218,3 +218,34 @@
         return most
 
     assert run_virtual(play()) <= 74
+
+
+def test_few_entries_do_not_exceed_the_connection_limit_of_a_target():
+    """Guards against three connections of each entry where two fit.
+
+    Targets reset connections beyond their limit. All requests go to one target
+    of each service, in bursts.
+    """
+
+    async def play():
+        tier = SimulatedTier(6, shards=3, max_connections=14)
+        for targets in tier.targets.values():
+            targets[1].is_not_run = True
+            targets[2].is_not_run = True
+        most = 0
+        for _ in range(30):
+            asked = [
+                asyncio.ensure_future(each.send_request(f'{step}'))
+                for each in tier.entries
+                for step in range(4)
+            ]
+            for _ in range(20):
+                await asyncio.sleep(0.002)
+                connections = sum(
+                    each.count_connections('s0-0') for each in tier.entries
+                )
+                most = max(most, connections)
+            await asyncio.gather(*asked)
+        return most
+
+    assert run_virtual(play()) <= 14
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -89,8 +89,11 @@
 
     keep_alive_until = float('inf')
 
-    def __init__(self, target: SimulatedTarget) -> None:
+    def __init__(
+        self, target: SimulatedTarget, on_close: Callable[[], None]
+    ) -> None:
         self._target = target
+        self._on_close = on_close
         self._task: asyncio.Task[Reply] | None = None
         self.is_usable = True
 
@@ -110,6 +113,8 @@
 
     def close(self) -> None:
         """Close the connection and cancel the request in progress."""
+        if self.is_usable:
+            self._on_close()
         self.is_usable = False
         if self._task is not None:
             self._task.cancel()
@@ -142,7 +147,7 @@
         if not self._target.is_up:
             raise TargetConnectError('refused')
         self.size += 1
-        return SimulatedConnection(self._target)
+        return SimulatedConnection(self._target, self._discard)
 
     def release(
         self, connection: SimulatedConnection, idle_timeout_s: float | None
@@ -156,13 +161,19 @@
             loop.call_later(idle_timeout_s, self._close_idle, connection)
 
     def close(self) -> None:
-        """Discard the idle connections."""
-        self._idle.clear()
+        """Close the idle connections."""
+        idle = self._idle
+        self._idle = []
+        for connection in idle:
+            connection.close()
 
     def _close_idle(self, connection: SimulatedConnection) -> None:
         if connection in self._idle:
             self._idle.remove(connection)
-            self.size -= 1
+            connection.close()
+
+    def _discard(self) -> None:
+        self.size -= 1
 
 
 def _copy_result(
