Let a replaced attempt keep its permit

Cause: an extra attempt that was replaced because no connection came about had to acquire a second extra attempt for its replacement, and the request was refused if there was none, although nothing of the first permit had been used.

Change: the replacement is sent with the permit of the attempt that it replaces.

--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -202,8 +202,9 @@
         now = time.monotonic()
         is_connecting = self._live and not self.sent_count
         is_replaceable = is_connecting and self._sends < _MAX_SENDS
-        if is_replaceable and self._choose() is not None:
-            self._replace_unsent(now)
+        other = self._choose() if is_replaceable else None
+        if other is not None:
+            self._replace_unsent(other, now)
             return
         is_repeatable = self._call.route.is_repeatable
         if (
@@ -218,10 +219,11 @@
         if is_repeatable:
             self._try_send()
 
-    def _replace_unsent(self, now: float) -> None:
+    def _replace_unsent(self, other: Target, now: float) -> None:
         """Replace the attempt that waits for a connection by another one.
 
         A connection that may still be set up in a normal time is waited for.
+        If the attempt was an extra one, its permit serves the other.
         """
         for future, attempt in list(self._live.items()):
             connect_s = attempt.target.pool.acquire_ms / _MS_PER_S
@@ -237,8 +239,7 @@
             self._call.trace.add(
                 'not_connected', target=attempt.target.listed.target
             )
-        self._hedge_at = float('inf')
-        self._try_send()
+        self._send(other)
 
     def _try_send(self) -> bool:
         """Start another attempt if target, budget and route allow it."""
--- a/shallotgate/gateway/tests/test_dispatch.py
+++ b/shallotgate/gateway/tests/test_dispatch.py
@@ -157,3 +157,21 @@
     assert answer.status == 200
     # Two hedge delays of 2.2 initial medians of 25 ms each, and the service.
     assert duration_ms < 130
+
+
+def test_replaced_attempt_keeps_its_permit():
+    """Guards against a refusal because the permit of an attempt that was never
+    sent is gone.
+
+    The budget has one extra attempt, for the one after the first target shed.
+    """
+
+    async def play(seed):
+        entry = SimulatedEntry(shards=1, slack=6, seed=seed, objective_ms=100)
+        first, second, _ = entry.targets['s0']
+        first.is_not_run = True
+        second.is_unresponsive = True
+        answer, _ = await entry.send_request('q')
+        return answer.status
+
+    assert {run_virtual(play(seed)) for seed in range(8)} == {200}
