Return a trial that was queued until its deadline

Cause: suspect content gets one trial. If the query that holds it runs out of time before its attempt begins, the owner of the target drops the attempt and nobody judges the trial: the content stays a suspect and is refused until an operator lifts it, innocent or not.

Change: an owner that drops a trial as late commits that it was not run, and never runs it afterwards. The content may then have another trial. A holder that dies before it sends its attempt still leaves the trial open.

Tests: a trial that waits until its deadline is returned (no command before); a returned trial gives way to another one and its former holder decides nothing.

--- a/shallotgate/state/_quarantine.py
+++ b/shallotgate/state/_quarantine.py
@@ -211,13 +211,21 @@
         return self._commit(changed=True)
 
     def judge_trial(self, command: JudgeTrial, now: float) -> Done:
-        """End a trial: quarantine the digest if its target was lost."""
+        """End a trial: quarantine the digest if its target was lost.
+
+        A trial that was not run leaves the digest a suspect, which may have
+        another one.
+        """
         suspect = self._suspects.get(command.digest)
         if suspect is None or suspect.holder != command.holder:
             return Done(changed=False, reason='no such trial')
         if suspect.status != 'trial':
             return Done(changed=False, reason=f'status is {suspect.status}')
-        if command.lost:
+        if command.unused:
+            judged = replace(
+                suspect, status='suspect', holder='', trial_target='', since=now
+            )
+        elif command.lost:
             loss = Loss(suspect.trial_target, f'trial {command.holder}')
             judged = replace(
                 suspect,
--- a/shallotgate/state/tests/test_determinism.py
+++ b/shallotgate/state/tests/test_determinism.py
@@ -31,6 +31,7 @@
     'key': st.builds(make_id, TAILS),
     'learnt': st.none(),
     'lost': st.booleans(),
+    'unused': st.booleans(),
     'operator': NAMES,
     'reason': NAMES,
     'start_id': TAILS,
--- a/shallotgate/state/tests/test_owners_and_quarantine.py
+++ b/shallotgate/state/tests/test_owners_and_quarantine.py
@@ -72,8 +72,10 @@
     return GrantTrial(digest='d', target=target, holder=holder, time=NOW)
 
 
-def judge(lost, holder='h1'):
-    return JudgeTrial(digest='d', holder=holder, lost=lost, time=NOW)
+def judge(lost, holder='h1', *, unused=False):
+    return JudgeTrial(
+        digest='d', holder=holder, lost=lost, unused=unused, time=NOW
+    )
 
 
 def lift():
@@ -114,6 +116,23 @@
     assert get_status(driver) == 'quarantined'
 
 
+def test_trial_that_was_not_run_gives_way_to_another(driver):
+    """Guards against a suspect that is refused forever.
+
+    The query that held its trial may have run out of time before it began.
+    """
+    driver.apply(report('t1', 'd'))
+    driver.apply(grant_trial())
+    assert not driver.apply(judge(False, 'h2', unused=True)).changed
+    assert driver.restart().apply(judge(False, unused=True)).changed
+    assert get_status(driver) == 'suspect'
+    assert driver.restart().apply(grant_trial('h2')).changed
+    # The former holder no longer decides anything.
+    assert not driver.apply(judge(False)).changed
+    assert driver.apply(judge(True, 'h2')).changed
+    assert get_status(driver) == 'quarantined'
+
+
 def report_domain(driver, domain, *targets, proven=('d',)):
     for name in targets:
         driver.apply(report(name, 'd', domain=domain, proven=proven))
--- a/shallotgate/targets/_pool.py
+++ b/shallotgate/targets/_pool.py
@@ -78,6 +78,8 @@
                 return
             task.claim_reply()
             state = self.core.make_state()
+        if reason == 'late':
+            _return_trials(self._dependencies.suspects, [task])
         self._dependencies.deliver(task, Outcome('not_run', reason), state)
 
     def cancel(self, task: AttemptTask) -> None:
@@ -105,6 +107,7 @@
             self._wake_worker()
             state = self.core.make_state()
         reason = 'unreachable' if state.lost else 'late'
+        _return_trials(self._dependencies.suspects, late)
         self._deliver_all(late, Outcome('not_run', reason), state)
         self._deliver_all(overdue, Outcome('timeout', 'overdue'), state)
 
@@ -305,3 +308,16 @@
 
 def _claim_all(tasks: Iterable[AttemptTask]) -> list[AttemptTask]:
     return [task for task in tasks if task.claim_reply()]
+
+
+def _return_trials(
+    suspects: SuspectTracker, late: Iterable[AttemptTask]
+) -> None:
+    """Return trials that were queued until their deadline.
+
+    Without that, a suspect whose only trial came too late would be refused
+    forever. The time of the caller is over, so they are not sent again.
+    """
+    for task in late:
+        if task.attempt.trial:
+            suspects.return_trial(task.attempt)
--- a/shallotgate/targets/_suspects.py
+++ b/shallotgate/targets/_suspects.py
@@ -132,6 +132,22 @@
             ),
         )
 
+    def return_trial(self, trial: Attempt) -> None:
+        """Commit that a trial has not run, so that another may be granted.
+
+        It is never run on this instance afterwards.
+        """
+        self._finished_trials.append(trial.trial)
+        self._pending.put(
+            JudgeTrial(
+                digest=trial.digest,
+                holder=trial.trial,
+                lost=False,
+                unused=True,
+                time=0,
+            ),
+        )
+
     def apply_view(self, view: View) -> None:
         """Drop local suspects that the view contains."""
         now = time.monotonic()
@@ -174,7 +190,9 @@
     def _handle_committed(self, command: object) -> None:
         expires_at = time.monotonic() + _COMMITTED_TTL_S
         with self._lock:
-            if isinstance(command, JudgeTrial) and not command.lost:
+            if isinstance(command, JudgeTrial) and not (
+                command.lost or command.unused
+            ):
                 self._local_suspects.pop(command.digest, None)
             if isinstance(command, ReportSuspects):
                 known = self._local_suspects.keys() & set(command.digests)
--- a/shallotgate/targets/tests/test_crashes.py
+++ b/shallotgate/targets/tests/test_crashes.py
@@ -132,3 +132,27 @@
     assert after_replies.get(timeout=WAIT_S).status == (
         'not_run' if crashes else 'ok'
     )
+
+
+def test_trial_that_waits_until_its_deadline_is_returned(make_rig):
+    """Guards against a suspect whose only trial is used up without a run."""
+    rig = make_rig(cold_start=False)
+    rig.set_judgement('suspect', 'trial', 'holder-1')
+    _, before = start_blocked_attempt(rig)
+    _, trial_replies = rig.submit(
+        digest='suspect', trial='holder-1', time_left_ms=300
+    )
+    reply = trial_replies.get(timeout=WAIT_S)
+    assert (reply.status, reply.reason) == ('not_run', 'late')
+    command = rig.commands.proposed.get(timeout=WAIT_S)
+    assert isinstance(command, JudgeTrial)
+    assert (command.holder, command.lost, command.unused) == (
+        'holder-1',
+        False,
+        True,
+    )
+    rig.connector.may_reply.set()
+    assert before.get(timeout=WAIT_S).status == 'ok'
+    started = len(rig.connector.started)
+    assert rig.run(digest='suspect', trial='holder-1').status == 'not_run'
+    assert len(rig.connector.started) == started
