--- a/testkit/proxy/_link.py
+++ b/testkit/proxy/_link.py
@@ -50,6 +50,14 @@
             if fault.reset or (connection.lossy and not dropping):
                 connection.abort()
 
+    async def silence(self) -> None:
+        """Swallow all further bytes of the open connections, without a reset.
+
+        New connections are not affected.
+        """
+        for connection in self._connections:
+            connection.is_silent = True
+
     async def close(self) -> None:
         """Stop listening and reset all connections."""
         if self._server is not None:
@@ -81,6 +89,8 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.lossy = False
+        # Whether it carries no more bytes, although it stays open.
+        self.is_silent = False
         self._link = link
         self._reader = reader
         self._writers = [writer]
@@ -154,11 +164,10 @@
             try:
                 chunk = await reader.read(_CHUNK_BYTES)
             except ConnectionError:
-                if not self._link.fault.drops(forward=forward):
+                if not self._drops(forward=forward):
                     raise
                 chunk = b''
-            if self._link.fault.drops(forward=forward):
-                self.lossy = True
+            if self._drops(forward=forward):
                 continue
             delay_s = self._link.fault.delay_ms / _MS_PER_S
             await chunks.put((loop.time() + delay_s, chunk))
@@ -174,9 +183,9 @@
         while True:
             due, chunk = await chunks.get()
             await asyncio.sleep(due - loop.time())
-            if self._link.fault.drops(forward=forward):
-                self.lossy = True
-            elif chunk:
+            if self._drops(forward=forward):
+                continue
+            if chunk:
                 writer.write(chunk)
                 await writer.drain()
             else:
@@ -185,3 +194,11 @@
             rate = self._link.fault.bytes_per_s
             if rate:
                 await asyncio.sleep(len(chunk) / rate)
+
+    def _drops(self, *, forward: bool) -> bool:
+        """Return whether bytes in a direction are swallowed now."""
+        if self.is_silent:
+            return True
+        is_dropped = self._link.fault.drops(forward=forward)
+        self.lossy = self.lossy or is_dropped
+        return is_dropped
--- a/testkit/proxy/_proxy.py
+++ b/testkit/proxy/_proxy.py
@@ -81,6 +81,10 @@
         """Put a fault in force on a link."""
         self._await(self._links[name].apply(fault))
 
+    def silence(self, name: str) -> None:
+        """Silence the open connections of a link for good."""
+        self._await(self._links[name].silence())
+
     def heal(self, *names: str) -> None:
         """Restore the named links, or all."""
         for name in names or self._links:
--- a/testkit/proxy/tests/test_proxy.py
+++ b/testkit/proxy/tests/test_proxy.py
@@ -76,6 +76,21 @@
     assert exchange(dial()) == b'ping'
 
 
+def test_silence_spares_new_connections(link):
+    """Guards against silence that the ends can tell, or that hits all."""
+    proxy, dial = link
+    before = dial()
+    assert exchange(before) == b'ping'
+    proxy.silence('link')
+    before.settimeout(0.2)
+    with pytest.raises(TimeoutError):
+        exchange(before)
+    assert exchange(dial()) == b'ping'
+    proxy.heal()
+    with pytest.raises(TimeoutError):
+        exchange(before)
+
+
 def test_reset_ends_present_and_new_connections(link):
     """Guards against a reset that looks like an orderly end."""
     proxy, dial = link
