Log tables that are sent and not received, and replaced connections

The logs could not tell a reply that is lost for good from one that was never made: an entry logs that the leader is lost, the leader nothing at all, and a connection was replaced without a line.

The leader logs an entry that asks again for a table that it was sent, and counts the entries without the newest table in the gauge entries_behind. A process logs each connection to a peer that it replaces, with the reason. The differences of tables move to a module of their own, unchanged.

--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -127,6 +127,9 @@
             self._metrics,
         )
         self._metrics.register_gauge('entries', self._count_entries)
+        self._metrics.register_gauge(
+            'entries_behind', self._followers.count_behind
+        )
         self._metrics.register_gauge(
             'disk_suspended', lambda: int(self._log.is_suspended())
         )
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -3,8 +3,6 @@
 import random
 import threading
 import time
-import zlib
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,14 +11,15 @@
     DomainsUpdate,
     FollowTier,
     ObservedReplies,
-    TableUpdate,
     TierUpdate,
 )
 from shallotgate.logs import get_logger
 from shallotgate.registry._conditions import ConditionTracker
 from shallotgate.registry._entry_counter import EntryCounter
 from shallotgate.registry._listing import ListingPoller
-from shallotgate.registry._state import Registry, RegistryState
+from shallotgate.registry._state import RegistryState
+from shallotgate.registry._table_differences import TableDifferences
+from shallotgate.registry._update_tracker import UpdateTracker
 from shallotgate.transport import Delivery, Mailbox
 
 _LOGGER = get_logger('followers')
@@ -35,9 +34,6 @@
 # Bits of the random first revision of the conditions, which keeps revisions of
 # different leaders distinct.
 _REVISION_BITS = 48
-# Cached documents that serve as compression dictionaries for followers that
-# hold the same version.
-_MAX_CACHED_DOCUMENTS = 8
 
 
 @dataclass
@@ -68,7 +64,8 @@
         self._list_members = list_members
         self._pending: dict[str, _PendingRequest] = {}
         self._entry_counter = EntryCounter()
-        self._documents: OrderedDict[int, bytes] = OrderedDict()
+        self._update_tracker = UpdateTracker()
+        self._tables = TableDifferences()
         self._changed = threading.Condition()
         # Counts changes that may concern a follower.
         self._changes = 0
@@ -98,8 +95,17 @@
         """Return the live entries, which share the limits of the targets."""
         return self._entry_counter.list_live(time.monotonic())
 
+    def count_behind(self) -> int:
+        """Return the number of live entries without the newest table."""
+        return self._update_tracker.count_behind(
+            self.list_entries(), self._state.read().version
+        )
+
     def _on_follow(self, delivery: Delivery) -> None:
         now = time.monotonic()
+        self._update_tracker.record_request(
+            delivery.sender, delivery.message.table_version, now
+        )
         self._entry_counter.record_request(
             delivery.sender, delivery.message, now
         )
@@ -168,6 +174,12 @@
         ):
             self._remove(pending)
             self._mailbox.reply(pending.delivery, update)
+            if update.table is not None:
+                self._update_tracker.record_sent(
+                    pending.delivery.sender,
+                    update.table.version,
+                    time.monotonic(),
+                )
 
     def _redirect(self, pending: _PendingRequest) -> None:
         """Reply with the leader, or keep the request until one is known."""
@@ -201,7 +213,7 @@
             status='current',
             members=self._list_members(),
             entries=self._entry_counter.count(time.monotonic()),
-            table=self._make_table(registry, message.table_version),
+            table=self._tables.make_update(registry, message.table_version),
             domains=domains,
             listing=self._listing.make_update(
                 message.listing_source,
@@ -212,33 +224,3 @@
                 merges=message.merges_conditions,
             ),
         )
-
-    def _make_table(
-        self,
-        registry: Registry,
-        known_version: int,
-    ) -> TableUpdate | None:
-        if registry.version <= known_version:
-            return None
-        document = self._decompress(registry)
-        base = self._documents.get(known_version)
-        if base is None:
-            return TableUpdate(
-                version=registry.version,
-                document=registry.document,
-            )
-        compressor = zlib.compressobj(zdict=base)
-        return TableUpdate(
-            version=registry.version,
-            base_version=known_version,
-            document=compressor.compress(document) + compressor.flush(),
-        )
-
-    def _decompress(self, registry: Registry) -> bytes:
-        document = self._documents.get(registry.version)
-        if document is None:
-            document = zlib.decompress(registry.document)
-            self._documents[registry.version] = document
-            while len(self._documents) > _MAX_CACHED_DOCUMENTS:
-                self._documents.popitem(last=False)
-        return document
--- a/shallotgate/transport/_sender.py
+++ b/shallotgate/transport/_sender.py
@@ -113,9 +113,9 @@
     def _send_queued(self, encoded: bytes) -> None:
         try:
             self._socket.send(encoded)
-        except pynng.NNGException:
+        except pynng.NNGException as error:
             # The peer does not accept messages; this one is dropped.
-            self._redial()
+            self._redial(str(error))
         else:
             self._sent_at = time.monotonic()
         with self._lock:
@@ -126,9 +126,21 @@
             self._last_received_at(self.peer), self._dialled_at
         )
         if self._sent_at - last_contact_at > _SILENCE_TIMEOUT_S:
-            self._redial()
-
-    def _redial(self) -> None:
+            self._redial('nothing received')
+
+    def _redial(self, reason: str) -> None:
+        now = time.monotonic()
+        _LOGGER.info(
+            'Connection replaced: %s.',
+            reason,
+            extra={
+                'peer': self.peer,
+                'age_s': round(now - self._dialled_at, 3),
+                'received_s_ago': round(
+                    now - self._last_received_at(self.peer), 3
+                ),
+            },
+        )
         with self._lock:
             self._socket.close()
             self._socket = self._dial()
