Replace a connection whose messages the peer does not acknowledge

Callers saw: an entry handled requests by an old table for good, although a newer one was acknowledged, and a member answered 503 to each change, while both had live connections to the others.

Cause: each process sends on a connection of its own. A connection that had gone silent without a reset was replaced only if the peer was not heard for 2 s, but the peer is heard on the connection in the other direction. So one that was dead in one direction only was kept for as long as the peer lived. Evidence: the leader logs 'Table was sent and not received.' for each question of the entry, and no 'Connection replaced.' in 10 s.

Each message now states the newest message that arrived from its recipient. A connection is replaced if the peer has acknowledged nothing of what was sent on it for 2 s, whatever is heard. An older build states nothing; from it each message acknowledges all, which is the former rule.

--- a/shallotgate/consensus/tests/cluster.py
+++ b/shallotgate/consensus/tests/cluster.py
@@ -14,6 +14,7 @@
 from shallotgate.generated.settings import Member
 from shallotgate.timers import TimerService
 from shallotgate.transport import Delivery, Mailbox
+from shallotgate.transport._envelope import EncodedMessage
 
 PORT_CHOOSER = random.SystemRandom()
 
@@ -47,7 +48,7 @@
 
     dropped_links: set[tuple[str, str]]
 
-    def _send_encoded(self, peer: str, encoded: bytes) -> None:
+    def _send_encoded(self, peer: str, encoded: EncodedMessage) -> None:
         if (self.instance, peer) not in self.dropped_links:
             super()._send_encoded(peer, encoded)
 
--- a/shallotgate/transport/_envelope.py
+++ b/shallotgate/transport/_envelope.py
@@ -40,6 +40,19 @@
     is_reply: bool
     kind: str
     payload: msgspec.Raw
+    # Send time of the newest message from the recipient that the sender has
+    # received, on the clock of the recipient; minus infinity if none. None
+    # from a build that does not state it.
+    acknowledged: float | None = None
+
+
+@dataclass(frozen=True)
+class EncodedMessage:
+    """An encoded message and its send time."""
+
+    # Monotonic time in seconds.
+    sent_at: float
+    content: bytes
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -52,19 +65,23 @@
     message: object,
     call_id: str = '',
     is_reply: bool = False,
-) -> bytes:
+    acknowledged: float | None = None,
+) -> EncodedMessage:
     """Encode a message with the current time as its send time."""
-    return _ENCODER.encode(
+    sent_at = time.monotonic()
+    content = _ENCODER.encode(
         (
             sender,
             start_id,
-            time.monotonic(),
+            sent_at,
             call_id,
             is_reply,
             type(message).__name__,
             message,
+            acknowledged,
         )
     )
+    return EncodedMessage(sent_at, content)
 
 
 def decode_envelope(encoded: bytes) -> tuple[Envelope, Any]:
--- a/shallotgate/transport/_mailbox.py
+++ b/shallotgate/transport/_mailbox.py
@@ -12,12 +12,13 @@
 from shallotgate.errors import CallTimeoutError, PeerUnreachableError
 from shallotgate.logs import get_logger
 from shallotgate.transport._envelope import (
-    AgeEstimator,
     Delivery,
+    EncodedMessage,
     Envelope,
     decode_envelope,
     encode_envelope,
 )
+from shallotgate.transport._receipts import Receipts
 from shallotgate.transport._sender import PeerSender
 
 _LOGGER = get_logger('transport')
@@ -50,8 +51,7 @@
         self._senders: dict[str, PeerSender] = {}
         self._handlers: dict[str, Handler] = {}
         self._pending: dict[str, queue.SimpleQueue[Delivery]] = {}
-        self._received_at: dict[str, float] = {}
-        self._age_estimators: dict[tuple[str, str], AgeEstimator] = {}
+        self._receipts = Receipts()
         self._call_numbers = itertools.count(1)
         self._lock = threading.Lock()
         self._socket = pynng.Pull0(
@@ -100,10 +100,7 @@
 
     def send(self, peer: str, message: object) -> None:
         """Send without blocking; raises ``PeerUnreachableError``."""
-        self._send_encoded(
-            peer,
-            encode_envelope(self.instance, self.start_id, message),
-        )
+        self._send_encoded(peer, self._encode(peer, message))
 
     def call(self, peer: str, message: object, timeout_s: float) -> object:
         """Send a message and wait for the reply.
@@ -115,15 +112,7 @@
         replies: queue.SimpleQueue[Delivery] = queue.SimpleQueue()
         self._pending[call_id] = replies
         try:
-            self._send_encoded(
-                peer,
-                encode_envelope(
-                    self.instance,
-                    self.start_id,
-                    message,
-                    call_id,
-                ),
-            )
+            self._send_encoded(peer, self._encode(peer, message, call_id))
             return replies.get(timeout=max(timeout_s, 0)).message
         except queue.Empty as error:
             name = type(message).__name__
@@ -135,23 +124,35 @@
 
     def reply(self, delivery: Delivery, message: object) -> None:
         """Reply to a call; a reply that can't be sent is dropped."""
-        encoded = encode_envelope(
-            self.instance,
-            self.start_id,
-            message,
-            delivery.call_id,
-            is_reply=True,
-        )
+        peer = delivery.sender
+        encoded = self._encode(peer, message, delivery.call_id, is_reply=True)
         try:
-            self._send_encoded(delivery.sender, encoded)
+            self._send_encoded(peer, encoded)
         except PeerUnreachableError:
-            _LOGGER.info('Reply dropped.', extra={'peer': delivery.sender})
+            _LOGGER.info('Reply dropped.', extra={'peer': peer})
 
     def last_received_at(self, peer: str) -> float:
         """Return the monotonic time of the last message from a peer."""
-        return self._received_at.get(peer, float('-inf'))
+        return self._receipts.get_received_at(peer)
+
+    def _encode(
+        self,
+        peer: str,
+        message: object,
+        call_id: str = '',
+        *,
+        is_reply: bool = False,
+    ) -> EncodedMessage:
+        return encode_envelope(
+            self.instance,
+            self.start_id,
+            message,
+            call_id,
+            is_reply,
+            self._receipts.get_newest_sent_at(peer),
+        )
 
-    def _send_encoded(self, peer: str, encoded: bytes) -> None:
+    def _send_encoded(self, peer: str, encoded: EncodedMessage) -> None:
         sender = self._senders.get(peer)
         if sender is None:
             sender = self._open_sender(peer)
@@ -209,23 +210,14 @@
         handler(delivery)
 
     def _make_delivery(self, envelope: Envelope, message: object) -> Delivery:
-        now = time.monotonic()
-        self._received_at[envelope.sender] = now
-        estimator_key = (envelope.sender, envelope.start_id)
-        estimator = self._age_estimators.get(estimator_key)
-        if estimator is None:
-            self._remove_estimators(envelope.sender)
-            estimator = AgeEstimator()
-            self._age_estimators[estimator_key] = estimator
+        age_s = self._receipts.record(envelope, time.monotonic())
+        sender = self._senders.get(envelope.sender)
+        if sender is not None:
+            sender.record_acknowledged(envelope.acknowledged)
         return Delivery(
             sender=envelope.sender,
             start_id=envelope.start_id,
             call_id=envelope.call_id,
-            age_s=estimator.estimate(envelope.sent_at, now),
+            age_s=age_s,
             message=message,
         )
-
-    def _remove_estimators(self, sender: str) -> None:
-        stale = [key for key in self._age_estimators if key[0] == sender]
-        for key in stale:
-            self._age_estimators.pop(key)
--- a/shallotgate/transport/_sender.py
+++ b/shallotgate/transport/_sender.py
@@ -9,6 +9,8 @@
 
 from shallotgate.errors import PeerUnreachableError
 from shallotgate.logs import get_logger
+from shallotgate.transport._acknowledgements import AcknowledgementTimer
+from shallotgate.transport._envelope import EncodedMessage
 
 _LOGGER = get_logger('transport')
 # Maximum number of messages queued for one peer; sending then fails.
@@ -21,9 +23,10 @@
 # because dialling is cheap and a starting peer should be reached soon.
 _RECONNECT_MIN_MS = 50
 _RECONNECT_MAX_MS = 100
-# The connection is replaced if nothing was received from a peer for this long
+# The connection is replaced if the peer acknowledges nothing for this long
 # although messages were sent: after a silent network failure TCP would keep
-# waiting in its retransmission back-off.
+# waiting in its retransmission back-off. Longer than a peer that has nothing
+# else to say holds its reply.
 _SILENCE_TIMEOUT_S = 2.0
 # Delay before the socket is closed, which discards buffered messages.
 _LINGER_S = 0.05
@@ -46,14 +49,14 @@
         self.peer = peer
         self.address = address
         self._last_received_at = last_received_at
-        self._queue: queue.Queue[bytes | None] = queue.Queue(
+        self._queue: queue.Queue[EncodedMessage | None] = queue.Queue(
             _MAX_QUEUED_MESSAGES
         )
         self._lock = threading.Lock()
         # Messages in the queue or being sent by the thread.
         self._backlog = 0
         self._dialled_at = float('-inf')
-        self._sent_at = float('-inf')
+        self._timer = AcknowledgementTimer()
         self._is_stopping = False
         self._socket = self._dial()
         self._thread = threading.Thread(
@@ -63,7 +66,7 @@
         )
         self._thread.start()
 
-    def send(self, encoded: bytes) -> None:
+    def send(self, encoded: EncodedMessage) -> None:
         """Send or queue a message.
 
         Raises ``PeerUnreachableError`` if the queue is full.
@@ -79,6 +82,16 @@
                 ) from error
             self._backlog += 1
 
+    def record_acknowledged(self, sent_at: float | None) -> None:
+        """Record the newest message that the peer has received.
+
+        A peer that does not state it acknowledges all with each message.
+        """
+        now = time.monotonic()
+        self._timer.record_acknowledged(
+            now if sent_at is None else sent_at, now
+        )
+
     def stop(self) -> None:
         """Send the queued messages and close the connection."""
         self._is_stopping = True
@@ -88,12 +101,12 @@
             _LOGGER.info('Queued messages dropped.', extra={'peer': self.peer})
         self._thread.join(timeout=2)
 
-    def _try_send(self, encoded: bytes) -> bool:
+    def _try_send(self, encoded: EncodedMessage) -> bool:
         try:
-            self._socket.send(encoded, block=False)
+            self._socket.send(encoded.content, block=False)
         except pynng.NNGException:
             return False
-        self._sent_at = time.monotonic()
+        self._timer.record_sent(encoded.sent_at, time.monotonic())
         return True
 
     def _run(self) -> None:
@@ -110,23 +123,21 @@
         time.sleep(_LINGER_S)
         self._socket.close()
 
-    def _send_queued(self, encoded: bytes) -> None:
+    def _send_queued(self, encoded: EncodedMessage) -> None:
         try:
-            self._socket.send(encoded)
+            self._socket.send(encoded.content)
         except pynng.NNGException as error:
             # The peer does not accept messages; this one is dropped.
             self._redial(str(error))
         else:
-            self._sent_at = time.monotonic()
+            self._timer.record_sent(encoded.sent_at, time.monotonic())
         with self._lock:
             self._backlog -= 1
 
     def _redial_if_silent(self) -> None:
-        last_contact_at = max(
-            self._last_received_at(self.peer), self._dialled_at
-        )
-        if self._sent_at - last_contact_at > _SILENCE_TIMEOUT_S:
-            self._redial('nothing received')
+        waiting_s = self._timer.get_waiting_s(time.monotonic())
+        if waiting_s > _SILENCE_TIMEOUT_S:
+            self._redial(f'nothing acknowledged for {waiting_s:.1f} s')
 
     def _redial(self, reason: str) -> None:
         now = time.monotonic()
@@ -144,6 +155,7 @@
         with self._lock:
             self._socket.close()
             self._socket = self._dial()
+            self._timer.record_replaced()
 
     def _dial(self) -> pynng.Push0:
         self._dialled_at = time.monotonic()
--- a/testkit/slopes/_differences.py
+++ b/testkit/slopes/_differences.py
@@ -76,7 +76,7 @@
         request = FetchState(versions=view.versions)
         start = time.process_time()
         update = make_update(builder.state, sessions, request)
-        encoded = encode_envelope('control-1', 'start', update)
+        encoded = encode_envelope('control-1', 'start', update).content
         make_s += time.process_time() - start
         start = time.process_time()
         view = _apply(view, encoded)
--- a/testkit/slopes/_measure.py
+++ b/testkit/slopes/_measure.py
@@ -206,7 +206,7 @@
         catalogue=catalogue,
         ownership=tuple(builder.state.read().ownership.values()),
     )
-    return encode_envelope('control-1', 'start', update)
+    return encode_envelope('control-1', 'start', update).content
 
 
 def _measure_update(encoded: bytes) -> tuple[float, int]:
@@ -230,7 +230,9 @@
 
 
 def _measure_message(message: object) -> dict[str, float]:
-    encoded = encode_envelope('entry-00001', '0123456789abcdef', message)
+    encoded = encode_envelope(
+        'entry-00001', '0123456789abcdef', message
+    ).content
     encode_s = _time(lambda: encode_envelope('entry-1', 'start', message))
     decode_s = _time(lambda: decode_envelope(encoded))
     return {
--- a/testkit/slopes/_reports.py
+++ b/testkit/slopes/_reports.py
@@ -68,7 +68,7 @@
         self._reader.handle_report(Delivery('entry-1', 'start', '', 0, report))
 
     def _send(self, message: object) -> bool:
-        self.encoded = encode_envelope('entry-1', 'start', message)
+        self.encoded = encode_envelope('entry-1', 'start', message).content
         return isinstance(message, OwnerReport)
 
     def _accept(self, states: object, age_s: float) -> None:
