Send tables to entries even if the list of targets can't be sent

Callers saw: after one odd entry in the platform's list, with 2^70 slots or a warm-up of 1e308 ms, no entry activated any further table, and an entry that started got none, for as long as the odd entry was listed.

Cause: one reply carries table, domains, list and conditions. A number beyond 64 bits can't be encoded, so the leader dropped the whole reply, to every entry. Evidence: 'Reply to a follower failed.' with OverflowError at the leader, and the question of each entry timing out.

A reply that can't be sent whole goes out without list and conditions, at once if a table or a change of the domains is due, else with the end of the long poll. The cause is logged once.

--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from shallotgate.consensus import ReplicatedLog
 from shallotgate.generated.messages import (
@@ -70,6 +70,8 @@
         # Counts changes that may concern a follower.
         self._changes = 0
         self._conditions = ConditionTracker(random.getrandbits(_REVISION_BITS))
+        # Text of the last error in sending an update.
+        self._send_error = ''
         self._is_stopped = False
         self._thread = threading.Thread(
             target=self._run,
@@ -168,18 +170,37 @@
             or update.listing
             or self._conditions.is_urgent(message.conditions_revision)
         )
-        if (
-            has_changes
-            or time.monotonic() - pending.received_at > _LONG_POLL_TIMEOUT_S
-        ):
-            self._remove(pending)
-            self._mailbox.reply(pending.delivery, update)
-            if update.table is not None:
-                self._update_tracker.record_sent(
-                    pending.delivery.sender,
-                    update.table.version,
-                    time.monotonic(),
-                )
+        waited_s = time.monotonic() - pending.received_at
+        is_overdue = waited_s > _LONG_POLL_TIMEOUT_S
+        if not (has_changes or is_overdue):
+            return
+        if not self._send(pending.delivery, update):
+            update = replace(update, listing=None, conditions=None)
+            if not (update.table or update.domains or is_overdue):
+                # Asked again at once, it would fail again.
+                return
+            self._send(pending.delivery, update)
+        self._remove(pending)
+
+    def _send(self, delivery: Delivery, update: TierUpdate) -> bool:
+        """Send an update; return whether it could be encoded.
+
+        List and conditions come from others. An error in them must not keep a
+        table or a change of the domains from the entries.
+        """
+        try:
+            self._mailbox.reply(delivery, update)
+        except Exception as error:
+            # Logged once, because all entries get the same list.
+            if str(error) != self._send_error:
+                _LOGGER.exception('Update of a follower cannot be sent whole.')
+            self._send_error = str(error)
+            return False
+        if update.table is not None:
+            self._update_tracker.record_sent(
+                delivery.sender, update.table.version, time.monotonic()
+            )
+        return True
 
     def _redirect(self, pending: _PendingRequest) -> None:
         """Reply with the leader, or keep the request until one is known."""
--- a/shallotgate/registry/tests/test_followers.py
+++ b/shallotgate/registry/tests/test_followers.py
@@ -9,6 +9,8 @@
 from shallotgate.codec import encode_tagged
 from shallotgate.generated.messages import (
     FollowTier,
+    ListedTarget,
+    ListingUpdate,
     ObservedReplies,
     PublishTable,
 )
@@ -32,6 +34,8 @@
         self.handlers[message_type] = handler
 
     def reply(self, delivery, message):
+        # Raises an error if the message cannot be sent.
+        encode_tagged(message)
         self.replies.put((delivery.sender, message))
 
     def deliver(self, sender, message):
@@ -58,13 +62,16 @@
 
 
 class FakeListing:
-    """List without changes."""
+    """List with a settable change."""
+
+    def __init__(self):
+        self.update = None
 
     def subscribe(self, callback):
         """Ignore the callback."""
 
     def make_update(self, source, revision):
-        return None
+        return self.update
 
 
 @pytest.fixture
@@ -83,8 +90,13 @@
 
 
 @pytest.fixture
-def service(mailbox, state, log):
-    service = FollowerService(mailbox, log, state, FakeListing(), list)
+def listing():
+    return FakeListing()
+
+
+@pytest.fixture
+def service(mailbox, state, log, listing):
+    service = FollowerService(mailbox, log, state, listing, list)
     service.start()
     yield service
     service.stop()
@@ -116,6 +128,30 @@
     assert (sender, update.table.version) == ('entry', 3)
 
 
+def test_table_is_sent_despite_a_list_that_cannot_be(
+    service, mailbox, state, listing
+):
+    """Guards against entries without a table because of one listed target."""
+    revision = sync_conditions(mailbox, 'entry')
+    target = ListedTarget(
+        target='t', service='s', address='a:1', domain='a', slots=2**70
+    )
+    listing.update = ListingUpdate(
+        source='l', revision=2, full=True, targets=[target]
+    )
+    follow(mailbox, 'entry', conditions_revision=revision)
+    time.sleep(0.2)
+    assert mailbox.replies.empty()
+    command = PublishTable(version=3, document=zlib.compress(b'table'))
+    state.apply(1, encode_tagged(command))
+    update = mailbox.wait_reply()[1]
+    assert (update.table.version, update.listing) == (3, None)
+    # Without news, the entry is answered in time, but not over and over.
+    follow(mailbox, 'entry', table_version=3, conditions_revision=revision)
+    assert mailbox.wait_reply()[1].status == 'current'
+    assert mailbox.replies.empty()
+
+
 def test_request_without_changes_is_answered_after_the_timeout(
     service, mailbox
 ):
