Activate a table before the rest of an update

Found by reading; no entry of a list is known to fail there now.

The table and the domains are applied first.

--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -210,18 +210,21 @@
         update: TierUpdate,
         table: RoutingTable | None,
     ) -> None:
-        if update.entries:
-            self._gateway.entries = update.entries
+        # The operator's state comes first: list and conditions depend on what
+        # others state, and an error in them must not keep it from taking
+        # effect.
+        if table is not None:
+            self._gateway.activate_table(table)
         if update.domains is not None:
             self._directory.apply_domains_out(
                 update.domains.revision,
                 update.domains.out,
             )
+        if update.entries:
+            self._gateway.entries = update.entries
         if update.listing is not None:
             self._directory.update(update.listing)
         self._directory.apply_conditions(update.conditions)
-        if table is not None:
-            self._gateway.activate_table(table)
 
 
 def _make_gateway_options(settings: NodeSettings) -> GatewayOptions:
