Request the whole table if a difference has another base

An entry kept the document of a table as the base of the next difference before it had activated the table. If the activation failed or came late, each later difference failed with zlib.error, at every poll and for good: an entry at an old table. Found by reading.

The entry asks with version -1 after such a difference, and so gets the whole table. An update that can't be applied is asked for again after 0.25 s, where the former 0.02 s made the leader send it 50 times a second.

--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -4,6 +4,7 @@
 import time
 import zlib
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from shallotgate.errors import FindingsError, TransportError
 from shallotgate.generated.messages import (
@@ -26,6 +27,9 @@
 _PROBE_TIMEOUT_S = 0.4
 # Delay between two attempts to find the leader, in seconds.
 _RETRY_DELAY_S = 0.02
+# Delay after an update that could not be applied, in seconds: the leader sends
+# it again at once.
+_FAILURE_DELAY_S = 0.25
 
 
 class TierFollower:
@@ -54,7 +58,10 @@
         self._peers = list(seeds)
         self._read_position = read_position
         self._apply = apply
+        # Document of the table decoded last, the base of the next difference.
         self._document = b''
+        # Whether the last difference had another base.
+        self._is_base_lost = False
         self._peer_index = 0
         self._leader = ''
         self._is_connected = False
@@ -104,6 +111,7 @@
             except Exception:
                 _LOGGER.exception('Polling the leader failed.')
                 self._drop_leader('failed')
+                self._stopped.wait(_FAILURE_DELAY_S)
 
     def _choose_peer(self) -> str:
         if self._leader:
@@ -113,7 +121,10 @@
 
     def _poll(self, peer: str) -> None:
         timeout_s = _POLL_TIMEOUT_S if self._is_connected else _PROBE_TIMEOUT_S
-        reply = self._mailbox.call(peer, self._read_position(), timeout_s)
+        position = self._read_position()
+        if self._is_base_lost:
+            position = replace(position, table_version=-1)
+        reply = self._mailbox.call(peer, position, timeout_s)
         if not isinstance(reply, TierUpdate):
             self._drop_leader('unexpected reply')
             return
@@ -140,14 +151,26 @@
     def _decode(self, update: TableUpdate | None) -> RoutingTable | None:
         if update is None:
             return None
-        unpacker = zlib.decompressobj()
-        if update.base_version >= 0:
-            unpacker = zlib.decompressobj(zdict=self._document)
-        document = unpacker.decompress(update.document) + unpacker.flush()
         try:
+            document = self._decompress(update)
             table = self._codec.decode_table(document)
+        except zlib.error:
+            _LOGGER.exception(
+                'Table %d is a difference from another than the own one; the '
+                'whole table is requested.',
+                update.version,
+            )
+            self._is_base_lost = True
+            return None
         except FindingsError:
             _LOGGER.exception('The active routing table cannot be decoded.')
             return None
+        self._is_base_lost = False
         self._document = document
         return table
+
+    def _decompress(self, update: TableUpdate) -> bytes:
+        unpacker = zlib.decompressobj()
+        if update.base_version >= 0:
+            unpacker = zlib.decompressobj(zdict=self._document)
+        return unpacker.decompress(update.document) + unpacker.flush()
--- /dev/null
+++ b/shallotgate/gateway/tests/test_follower.py
@@ -0,0 +1,108 @@
+"""Updates that an entry receives from the leader."""
+
+import threading
+import zlib
+
+import pytest
+
+from shallotgate.errors import CallTimeoutError
+from shallotgate.gateway import TierFollower
+from shallotgate.generated.messages import (
+    FollowTier,
+    TableUpdate,
+    TierUpdate,
+)
+from shallotgate.routes import RoutingTable
+
+LIMIT_S = 5
+
+
+class FakeMailbox:
+    """Answers each call with the next prepared update."""
+
+    def __init__(self, updates):
+        self.updates = list(updates)
+        self.positions = []
+        self.is_drained = threading.Event()
+
+    def call(self, peer, message, timeout_s):
+        self.positions.append(message)
+        if not self.updates:
+            self.is_drained.set()
+            raise CallTimeoutError('no more updates')
+        return self.updates.pop(0)
+
+
+class FakeCodec:
+    """Table whose document is its version."""
+
+    def decode_table(self, document):
+        return RoutingTable(int(document))
+
+
+class Entry:
+    """Position of an entry whose first applications may fail."""
+
+    def __init__(self, failures=0):
+        self.version = -1
+        self.failures = failures
+
+    def read_position(self):
+        return FollowTier(domain='a', table_version=self.version)
+
+    def apply(self, update, table):
+        if self.failures:
+            self.failures -= 1
+            raise ValueError('the update cannot be applied')
+        if table is not None:
+            self.version = table.version
+
+
+def make_update(version, base_version=-1):
+    document = b'%d' % version
+    if base_version < 0:
+        compressed = zlib.compress(document)
+    else:
+        compressor = zlib.compressobj(zdict=b'%d' % base_version)
+        compressed = compressor.compress(document) + compressor.flush()
+    table = TableUpdate(
+        version=version, base_version=base_version, document=compressed
+    )
+    return TierUpdate(status='current', table=table)
+
+
+def run(entry, *updates):
+    """Let an entry receive updates; return the versions that it stated."""
+    mailbox = FakeMailbox(updates)
+    follower = TierFollower(
+        mailbox, FakeCodec(), ['leader'], entry.read_position, entry.apply
+    )
+    follower.start()
+    assert mailbox.is_drained.wait(LIMIT_S)
+    follower.stop()
+    return [position.table_version for position in mailbox.positions]
+
+
+def test_difference_is_applied_to_the_table_held():
+    entry = Entry()
+    assert run(entry, make_update(5), make_update(6, 5))[:3] == [-1, 5, 6]
+
+
+def test_whole_table_is_requested_after_a_difference_that_does_not_fit():
+    """Guards against an entry that fails at the same difference for ever."""
+    entry = Entry()
+    entry.version = 4
+    versions = run(entry, make_update(5, 4), make_update(5), make_update(6, 5))
+    assert versions[:4] == [4, -1, 5, 6]
+
+
+@pytest.mark.parametrize('failures', [1, 2])
+def test_failed_application_does_not_end_the_updates(failures):
+    """Guards against an entry that stays at the table before a failed update.
+
+    The document of the failed update is the base of no later difference.
+    """
+    entry = Entry(failures)
+    whole = [make_update(5) for _ in range(failures)]
+    versions = run(entry, *whole, make_update(6), make_update(7, 6))
+    assert versions[-1] == 7
