Refuse two routes of one place in different spellings

A table with two routes for the same host and prefix is invalid. It was taken if the hosts differed in case or named a port, and if both routes had an empty name, as the check compared the identity of the names. The later route was then served.

Hosts are compared as requests are matched. A version beyond 64 bits and a sum of weights beyond a float are refused too; the former ended in an internal error instead of 400.

--- a/shallotgate/routes/_check.py
+++ b/shallotgate/routes/_check.py
@@ -1,10 +1,15 @@
 """Validation of routing tables."""
 
+import math
 from collections.abc import Iterator
 
 from shallotgate.errors import Finding, FindingsError
+from shallotgate.routes._index import normalize_host
 from shallotgate.routes._table import Route, RoutingTable
 
+# Versions are stored as signed integers of 64 bits.
+_MAX_VERSION = 2**63 - 1
+
 
 def check_table(table: RoutingTable) -> None:
     """Raise ``FindingsError`` with all faults of a table.
@@ -25,16 +30,18 @@
 
 
 def _iter_faults(table: RoutingTable) -> Iterator[tuple[str, str]]:
-    if table.version < 0:
-        yield 'version', 'must not be negative'
+    if not 0 <= table.version <= _MAX_VERSION:
+        yield 'version', f'must be from 0 to {_MAX_VERSION}'
     known = {service.name for service in table.services}
     if len(known) < len(table.services):
         yield 'services', 'two services have the same name'
-    seen: dict[tuple[str, str], str] = {}
+    seen: dict[tuple[str, str], Route] = {}
     for route in table.routes:
-        existing = seen.setdefault((route.host, route.prefix), route.name)
-        if existing is not route.name:
-            yield route.name, f'has the same host and prefix as {existing}'
+        place = (normalize_host(route.host), route.prefix)
+        existing = seen.setdefault(place, route)
+        if existing is not route:
+            reason = f'has the same host and prefix as {existing.name}'
+            yield route.name, reason
         yield from _iter_route_faults(route, known)
 
 
@@ -62,3 +69,5 @@
         yield route.name, 'a weight is negative'
     elif weights and not sum(weights):
         yield route.name, 'the weights add up to 0'
+    elif not math.isfinite(sum(weights)):
+        yield route.name, 'the sum of the weights is too large'
--- a/shallotgate/routes/_index.py
+++ b/shallotgate/routes/_index.py
@@ -3,6 +3,15 @@
 from shallotgate.routes._table import Route, RoutingTable
 
 
+def normalize_host(host: str) -> str:
+    """Return a host without its port, in lower case.
+
+    >>> normalize_host('A.example:80')
+    'a.example'
+    """
+    return host.partition(':')[0].lower()
+
+
 class RouteIndex:
     """Finds the route of a request.
 
@@ -18,12 +27,12 @@
     def __init__(self, table: RoutingTable) -> None:
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in table.routes:
-            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes = self._by_host.setdefault(normalize_host(route.host), {})
             prefixes[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
-        prefixes = self._by_host.get(host.partition(':')[0].lower())
+        prefixes = self._by_host.get(normalize_host(host))
         if prefixes is None:
             return None
         path_only = path.partition('?')[0]
