Keep the splits of routes with the same name apart

Splits were kept by the name of the route, and names may repeat: requests of one route went to the services of another, which no table allows. They are kept by host and prefix now.

--- a/shallotgate/gateway/_active_table.py
+++ b/shallotgate/gateway/_active_table.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from shallotgate.routes import (
+    Route,
     RouteIndex,
     RoutingTable,
     Service,
@@ -22,7 +23,13 @@
     table: RoutingTable
     index: RouteIndex
     services: dict[str, Service]
-    splits: dict[str, SplitChooser]
+    # By host and prefix of the route, because names may repeat.
+    splits: dict[tuple[str, str], SplitChooser]
+
+    def choose_service(self, route: Route) -> str:
+        """Return the service of the next request of a route."""
+        split = self.splits.get((route.host, route.prefix))
+        return split.choose() if split else route.choices[0].service
 
     @classmethod
     def create(
@@ -32,7 +39,7 @@
     ) -> 'ActiveTable':
         """Return the objects derived from a table."""
         splits = {
-            route.name: SplitChooser(route, generator.random())
+            (route.host, route.prefix): SplitChooser(route, generator.random())
             for route in table.routes
             if len(route.choices) > 1
         }
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -157,8 +157,7 @@
         if call.route.shards:
             fan_out_result = await FanOut(call, make_dispatch).run()
             return self._answer_gathered(call, fan_out_result)
-        split = active.splits.get(call.route.name)
-        service = split.choose() if split else call.route.choices[0].service
+        service = active.choose_service(call.route)
         outcome = await make_dispatch(service, _always).run()
         return self._answer_single(call, outcome)
 
