Admit a newcomer before a member of three is removed

In the group of two one lost disk was the end: the other can't commit alone, and the removed member, which may be back with its disk, has no vote. Tables would then neither be accepted nor read back.

A group of three grows first; the silent member leaves as that of an even group. The test failed before (two voters seen) and passes now.

--- a/shallotgate/consensus/_membership.py
+++ b/shallotgate/consensus/_membership.py
@@ -21,7 +21,9 @@
 # Timeout of the replacement of a member with a wiped disk; the next check
 # retries it.
 _REPLACE_TIMEOUT_S = 2.0
-# A group with this many voters or fewer is not shrunk automatically.
+# A group with this many voters or fewer is not shrunk automatically. If one of
+# two voters lost its disk, the other could never commit anything again, even if
+# the member that was removed came back.
 _MIN_VOTERS = 3
 
 
@@ -164,7 +166,8 @@
         ack_age_s = leadership.read_member_ack_age_s(unresponsive.identity)
         if ack_age_s < options.replace_unresponsive_s:
             return False
-        if joining is not None:
+        can_shrink = len(group.voters) > _MIN_VOTERS or not unresponsive.voter
+        if joining is not None and can_shrink:
             return True
         if ack_age_s < options.remove_unresponsive_s:
             return False
--- a/shallotgate/consensus/tests/test_membership.py
+++ b/shallotgate/consensus/tests/test_membership.py
@@ -66,6 +66,27 @@
     wait_for(lambda: node.machine.items == [b'0', b'1', b'last'])
 
 
+def test_newcomer_is_admitted_before_one_of_three_is_removed(cluster):
+    """Guards against a group of two, in which one lost disk is the end.
+
+    The member that was removed and still has its disk could not help then.
+    """
+    leader = cluster.wait_leader()
+    name = next(member for member in 'abc' if member != leader.name)
+    cluster.stop(name)
+    time.sleep(OPTIONS.replace_unresponsive_s + 0.3)
+    cluster.start('d', bootstrap=False)
+    rest = 'abcd'.replace(name, '')
+    seen = set()
+
+    def is_replaced():
+        seen.add(list_voters(cluster))
+        return list_voters(cluster) == rest
+
+    wait_for(is_replaced, 10)
+    assert min(len(voters) for voters in seen if voters) == 3
+
+
 def test_member_with_a_lost_disk_is_replaced_without_an_operator(cluster):
     """Guards against a wiped member that never becomes a voter again."""
     leader = cluster.wait_leader()
