Commit a membership change before the next one is proposed

A change that was not committed within its second was given up by its caller only; the next one built on its group. With two open changes majorities of the groups before and after need not overlap, so that two leaders could commit. No run showed it: a leader without a majority steps down within 0.8 s, sooner than a change is given up.

A change is refused while the former one is open. The test failed before.

--- a/shallotgate/consensus/_membership_changes.py
+++ b/shallotgate/consensus/_membership_changes.py
@@ -31,6 +31,8 @@
         self._state = state
         self._leader = leader
         self._lock = threading.Lock()
+        # The last membership change that this member proposed.
+        self._newest: Proposal | None = None
 
     def replace_member(self, instance: str, timeout_s: float) -> None:
         """Move the vote of an instance to its new identity.
@@ -286,8 +288,14 @@
         group: Group,
         deadline: float,
     ) -> None:
+        if self._newest is not None and not self._newest.future.done():
+            # Majorities before and after two changes need not overlap.
+            raise ConsensusError(
+                'the former membership change is not committed yet'
+            )
+        self._newest = Proposal('members', encode_group(group))
         self._leader.propose(
-            Proposal('members', encode_group(group)),
+            self._newest,
             deadline - time.monotonic(),
             expected=leadership,
         )
--- a/shallotgate/consensus/tests/test_membership.py
+++ b/shallotgate/consensus/tests/test_membership.py
@@ -6,6 +6,7 @@
 
 from shallotgate.consensus import ConsensusOptions
 from shallotgate.consensus.tests.cluster import wait_for
+from shallotgate.errors import ConsensusError
 
 OPTIONS = ConsensusOptions(
     automatic_membership=True, snapshot_interval_records=20
@@ -87,6 +88,20 @@
     assert min(len(voters) for voters in seen if voters) == 3
 
 
+def test_change_waits_until_the_former_one_is_committed(cluster):
+    """Guards against two open changes, whose majorities need not overlap."""
+    leader = cluster.wait_leader()
+    changes = leader.log._changes
+    leadership = leader.log._state.leadership
+    # Neither follower answers, so nothing is committed.
+    for name in set('abc') - {leader.name}:
+        cluster.isolate(name)
+    group = leader.log._state.journal.group
+    for error in ('not committed within', 'former membership change'):
+        with pytest.raises(ConsensusError, match=error):
+            changes._commit_group(leadership, group, time.monotonic() + 0.05)
+
+
 def test_member_with_a_lost_disk_is_replaced_without_an_operator(cluster):
     """Guards against a wiped member that never becomes a voter again."""
     leader = cluster.wait_leader()
