--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -30,6 +30,9 @@
     is_not_run: bool = False
     # Fraction of requests rejected without running them, 0 to 1.
     shed_ratio: float = 0
+    # Requests a second that it takes from all entries, stated in each reply; 0
+    # if it states none. It does not enforce the limit.
+    limit_per_s: float = 0
     # Whether it drops the connection instead of replying.
     drops_connection: bool = False
     # Id of the request that crashes the target; empty for none.
@@ -42,8 +45,10 @@
     is_up: bool = True
     # Whether connection attempts time out instead of being refused.
     is_unresponsive: bool = False
-    # Ids of requests received and of requests completed.
+    # Ids of requests received and of requests completed, and the loop times at
+    # which requests were received.
     received_ids: list[bytes] = field(default_factory=list)
+    received_at: list[float] = field(default_factory=list)
     completed_ids: list[bytes] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -54,8 +59,9 @@
         """Process a request and return the reply."""
         loop = asyncio.get_running_loop()
         self.received_ids.append(request_id)
+        self.received_at.append(loop.time())
         if self.is_not_run or self._should_shed():
-            return Reply(_SHED_STATUS, [(b'not-run', b'1')], b'')
+            return self._reply(_SHED_STATUS, (b'not-run', b'1'))
         if request_id == self.crashing_request_id:
             self._crash()
         crashes = self.crashes
@@ -67,7 +73,15 @@
         self.completed_ids.append(request_id)
         signature = b'%s.%s' % (self.name.encode(), request_id)
         body = _RECORD % random.randrange(_RECORD_LIMIT)  # noqa: S311
-        return Reply(200, [(b'signature', signature)], body)
+        return self._reply(200, (b'signature', signature), body)
+
+    def _reply(
+        self, status: int, header: tuple[bytes, bytes], body: bytes = b''
+    ) -> Reply:
+        headers = [header]
+        if self.limit_per_s:
+            headers.append((b'limit', b'%f' % self.limit_per_s))
+        return Reply(status, headers, body)
 
     def _crash(self) -> None:
         """Go down for a while; requests in progress are lost."""
