Log the limits that targets state, and targets that get more

The adapter decodes the limit that a target states. Nothing acts on a limit yet.

Sending of updates to entries moves to a class of its own.

--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -160,10 +160,9 @@
             self.target.record_failure()
 
     def _handle_reply(self, reply: Reply, duration_ms: float) -> None:
-        health = self.target.health
         metadata = self.read_metadata(reply)
-        if metadata.load is not None:
-            health.record_load(metadata.load)
+        if not metadata.is_misdirected:
+            self.target.record_statements(metadata)
         if metadata.signature and reply.status < 300:
             self._on_reply(self.target, duration_ms)
         else:
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -7,6 +7,7 @@
 from shallotgate.gateway._connection_pool import ConnectionPool
 from shallotgate.gateway._health import TargetHealth
 from shallotgate.gateway._reply_stats import ReplyStats
+from shallotgate.gateway._wire import ReplyMetadata
 from shallotgate.generated.messages import (
     ListedTarget,
     ListingUpdate,
@@ -34,6 +35,9 @@
     # None before a time was assigned.
     cold_next_at: float | None = None
     health: TargetHealth = field(default_factory=TargetHealth)
+    # Requests a second that it takes from all entries together; None if it
+    # states no limit.
+    limit_per_s: float | None = None
 
     def record_reply(self, duration_ms: float, median_ms: float) -> None:
         """Record the duration of a reply relative to the median."""
@@ -51,6 +55,23 @@
         self.health.record_connect_failure()
         self.reply_stats.add_failure(self.listed.target)
 
+    def record_statements(self, metadata: ReplyMetadata) -> None:
+        """Record what the target states of itself in a reply."""
+        if metadata.load is not None:
+            self.health.record_load(metadata.load)
+        # A reply without a signature may come from something else in between.
+        is_stated = metadata.signature or metadata.limit_per_s is not None
+        if is_stated and metadata.limit_per_s != self.limit_per_s:
+            self.limit_per_s = metadata.limit_per_s
+            self.reply_stats.add_limit(self.listed.target, self.limit_per_s)
+            _LOGGER.info(
+                'Target states another limit.',
+                extra={
+                    'target': self.listed.target,
+                    'limit_per_s': self.limit_per_s,
+                },
+            )
+
 
 class Directory:
     """Targets by service, updated by the leader."""
--- a/shallotgate/gateway/_reply_stats.py
+++ b/shallotgate/gateway/_reply_stats.py
@@ -15,6 +15,10 @@
 _REPORT_THRESHOLD = 3
 
 
+# Stands in messages for the limit of a target that states none any more.
+NO_LIMIT = -1.0
+
+
 class ReplyStats:
     """Counts of replies and failures by target; used from several threads.
 
@@ -22,7 +26,8 @@
     >>> reply_stats.add_reply('t-1', slowness=2)
     >>> reply_stats.add_failure('t-1')
     >>> reply_stats.drain()
-    ObservedReplies(targets=['t-1'], replies=[2], slowness=[2], failures=[1])
+    ObservedReplies(targets=['t-1'], replies=[2], slowness=[2], failures=[1], \
+limited=[], limits=[])
     >>> reply_stats.drain() is None
     True
     """
@@ -35,6 +40,8 @@
         self._anomalies = 0
         # Replies, total slowness and failures, by target.
         self._totals: dict[str, tuple[int, float, int]] = {}
+        # Changed limits of targets; None if a target states none any more.
+        self._limits: dict[str, float | None] = {}
 
     def add_reply(self, target: str, slowness: float) -> None:
         """Add a reply; ``slowness`` is its duration relative to the median."""
@@ -44,19 +51,34 @@
         """Add an attempt that failed or could not connect."""
         self._add(target, 0, 1)
 
+    def add_limit(self, target: str, limit_per_s: float | None) -> None:
+        """Add a changed limit; the leader should learn it at once."""
+        with self._lock:
+            self._limits[target] = limit_per_s
+        self._anomalies += _REPORT_THRESHOLD
+        if self._on_trouble is not None:
+            self._on_trouble()
+
     def drain(self) -> ObservedReplies | None:
         """Return and reset the statistics; None if there are none."""
         with self._lock:
             stats = self._totals
+            limits = self._limits
             self._totals = {}
+            self._limits = {}
             self._anomalies = 0
-        if not stats:
+        if not stats and not limits:
             return None
         return ObservedReplies(
             targets=list(stats),
             replies=[replies for replies, _, _ in stats.values()],
             slowness=[round(slowness, 1) for _, slowness, _ in stats.values()],
             failures=[failures for _, _, failures in stats.values()],
+            limited=list(limits),
+            limits=[
+                NO_LIMIT if limit is None else limit
+                for limit in limits.values()
+            ],
         )
 
     @property
--- a/shallotgate/gateway/_wire.py
+++ b/shallotgate/gateway/_wire.py
@@ -44,6 +44,9 @@
     # Whether another target than the addressed one replied.
     is_misdirected: bool
     load: TargetLoad | None
+    # Requests a second that the target takes from all entries together; None
+    # if it states no limit.
+    limit_per_s: float | None = None
 
 
 class WireCodec(Protocol):
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -29,6 +30,7 @@
     TargetListing,
 )
 from shallotgate.routes import TableCodec
+from shallotgate.target_limits import LimitBoard
 from shallotgate.timers import TimerService, get_process_start_time
 from shallotgate.transport import Mailbox
 
@@ -99,6 +101,7 @@
             ),
             is_leading=self._log.is_leading,
         )
+        self._limits = LimitBoard()
         self._client = RegistryClient(self._mailbox, self._log, state)
         self._followers = FollowerService(
             mailbox=self._mailbox,
@@ -106,6 +109,7 @@
             state=state,
             listing=self._listing,
             list_members=self._list_members,
+            limits=self._limits,
         )
         self._crashes = CrashService(
             self._mailbox,
@@ -130,6 +134,10 @@
         self._metrics.register_gauge(
             'entries_behind', self._followers.count_behind
         )
+        self._metrics.register_gauge(
+            'limited_targets',
+            lambda: len(self._limits.list_limits(time.monotonic())),
+        )
         self._metrics.register_gauge(
             'disk_suspended', lambda: int(self._log.is_suspended())
         )
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from shallotgate.consensus import ReplicatedLog
 from shallotgate.generated.messages import (
@@ -19,7 +19,9 @@
 from shallotgate.registry._listing import ListingPoller
 from shallotgate.registry._state import RegistryState
 from shallotgate.registry._table_differences import TableDifferences
+from shallotgate.registry._update_sender import UpdateSender
 from shallotgate.registry._update_tracker import UpdateTracker
+from shallotgate.target_limits import LimitBoard
 from shallotgate.transport import Delivery, Mailbox
 
 _LOGGER = get_logger('followers')
@@ -55,6 +57,7 @@
         state: RegistryState,
         listing: ListingPoller,
         list_members: Callable[[], list[str]],
+        limits: LimitBoard,
     ) -> None:
         """Subscribe to the mailbox, which must not have started."""
         self._mailbox = mailbox
@@ -62,16 +65,16 @@
         self._state = state
         self._listing = listing
         self._list_members = list_members
+        self._limits = limits
         self._pending: dict[str, _PendingRequest] = {}
         self._entry_counter = EntryCounter()
         self._update_tracker = UpdateTracker()
+        self._sender = UpdateSender(mailbox, self._update_tracker)
         self._tables = TableDifferences()
         self._changed = threading.Condition()
         # Counts changes that may concern a follower.
         self._changes = 0
         self._conditions = ConditionTracker(random.getrandbits(_REVISION_BITS))
-        # Text of the last error in sending an update.
-        self._send_error = ''
         self._is_stopped = False
         self._thread = threading.Thread(
             target=self._run,
@@ -115,10 +118,15 @@
             self._pending[delivery.sender] = _PendingRequest(delivery, now)
             self._changed.notify_all()
         if delivery.message.observed is not None:
-            self._conditions.record_replies(delivery.message.observed, now)
+            self._record_replies(delivery.message.observed)
 
     def _on_observed(self, delivery: Delivery) -> None:
-        self._conditions.record_replies(delivery.message, time.monotonic())
+        self._record_replies(delivery.message)
+
+    def _record_replies(self, observed: ObservedReplies) -> None:
+        now = time.monotonic()
+        self._limits.record_replies(observed, now)
+        self._conditions.record_replies(observed, now)
 
     def _on_leadership(self, is_leading: bool) -> None:
         self._entry_counter.set_leading(is_leading, time.monotonic())
@@ -174,33 +182,8 @@
         is_overdue = waited_s > _LONG_POLL_TIMEOUT_S
         if not (has_changes or is_overdue):
             return
-        if not self._send(pending.delivery, update):
-            update = replace(update, listing=None, conditions=None)
-            if not (update.table or update.domains or is_overdue):
-                # Asked again at once, it would fail again.
-                return
-            self._send(pending.delivery, update)
-        self._remove(pending)
-
-    def _send(self, delivery: Delivery, update: TierUpdate) -> bool:
-        """Send an update; return whether it could be encoded.
-
-        List and conditions come from others. An error in them must not keep a
-        table or a change of the domains from the entries.
-        """
-        try:
-            self._mailbox.reply(delivery, update)
-        except Exception as error:
-            # Logged once, because all entries get the same list.
-            if str(error) != self._send_error:
-                _LOGGER.exception('Update of a follower cannot be sent whole.')
-            self._send_error = str(error)
-            return False
-        if update.table is not None:
-            self._update_tracker.record_sent(
-                delivery.sender, update.table.version, time.monotonic()
-            )
-        return True
+        if self._sender.send(pending.delivery, update, is_overdue=is_overdue):
+            self._remove(pending)
 
     def _redirect(self, pending: _PendingRequest) -> None:
         """Reply with the leader, or keep the request until one is known."""
--- a/shallotgate/registry/tests/test_followers.py
+++ b/shallotgate/registry/tests/test_followers.py
@@ -15,6 +15,7 @@
     PublishTable,
 )
 from shallotgate.registry import FollowerService, RegistryState
+from shallotgate.target_limits import LimitBoard
 from shallotgate.transport import Delivery
 
 # Exceeds the long-poll timeout of the leader.
@@ -96,7 +97,7 @@
 
 @pytest.fixture
 def service(mailbox, state, log, listing):
-    service = FollowerService(mailbox, log, state, listing, list)
+    service = FollowerService(mailbox, log, state, listing, list, LimitBoard())
     service.start()
     yield service
     service.stop()
--- a/testkit/gateway/_plain_wire.py
+++ b/testkit/gateway/_plain_wire.py
@@ -32,11 +32,13 @@
     def decode_reply(self, reply: Reply) -> ReplyMetadata:
         """Decode the headers of a simulated reply."""
         headers = dict(reply.headers)
+        limit = headers.get(b'limit')
         return ReplyMetadata(
             headers.get(b'signature', b''),
             b'not-run' in headers,
             reply.status == _MISDIRECTED,
             None,
+            None if limit is None else float(limit),
         )
 
     def make_merged_response(
