Send to targets that state a limit only with a permit of the leader

Targets got up to 1.5 times and more what they take from all entries together, in calm: 136 requests in 4 s at a limit of 20.2 a second (126 allowed), 113 at 14.1 (90).

Cause: nothing read the limit, and no entry can keep it alone, because it does not know what the others send. Equal shares fit neither 6 entries with uneven load nor 191, each of which would have one request in a minute.

The leader keeps a bucket for each target with a limit and grants requests at that rate with a burst of half a second. An entry asks once for all shards of a query; it is granted what it needs or nothing, and no priority gets a larger part of its requests than a more urgent one. Targets without a limit go first. Hedges and retries need a permit, too, and leave a reserve. A new leader starts with empty buckets. Without an answer the entries use a quarter of the limit together. So over 4 s a target gets at most 5 times its limit and a burst (6 times and 5 allowed), whoever leads, starts, freezes or loses touch. Limits are told to all entries, so that one that has not heard a target keeps to them as well.

--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -6,6 +6,7 @@
 from shallotgate.gateway._follower import TierFollower
 from shallotgate.gateway._gateway import Gateway
 from shallotgate.gateway._options import GatewayOptions
+from shallotgate.gateway._permits import PermitClient, PermitSource
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantClient, RetryGrantSource
 from shallotgate.gateway._target_chooser import TargetChooser
@@ -22,6 +23,8 @@
     'Directory',
     'Gateway',
     'GatewayOptions',
+    'PermitClient',
+    'PermitSource',
     'ReplyMetadata',
     'RequestReporter',
     'RetryGrantClient',
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -12,8 +12,10 @@
     ListedTarget,
     ListingUpdate,
     TargetConditions,
+    TargetLimits,
 )
 from shallotgate.logs import get_logger
+from shallotgate.target_limits import NO_LIMIT
 
 _LOGGER = get_logger('directory')
 _MS_PER_S = 1000
@@ -90,6 +92,10 @@
         self._conditions: dict[str, tuple[float, float]] = {}
         self._degraded: list[Target] = []
         self._targets: dict[str, Target] = {}
+        # Revision of the limits last received; -1 before the first.
+        self.limits_revision = -1
+        # Limits received of targets that are not listed yet.
+        self._unlisted_limits: dict[str, float] = {}
         # Targets eligible for new requests, by service.
         self._usable: dict[str, list[Target]] = {}
 
@@ -139,6 +145,20 @@
         )
         self._share_conditions()
 
+    def apply_limits(self, limits: TargetLimits) -> None:
+        """Apply limits of targets that other entries observed.
+
+        A target that is not named keeps its limit until a reply states another.
+        """
+        self.limits_revision = limits.revision
+        self._unlisted_limits.clear()
+        for name, limit in zip(limits.targets, limits.limits, strict=True):
+            target = self._targets.get(name)
+            if target is not None:
+                target.limit_per_s = None if limit == NO_LIMIT else limit
+            elif limit != NO_LIMIT:
+                self._unlisted_limits[name] = limit
+
     def update(self, update: ListingUpdate) -> None:
         """Apply a full listing or an incremental update."""
         if update.full:
@@ -194,6 +214,7 @@
                 pool,
                 self.reply_stats,
                 cold_until,
+                limit_per_s=self._unlisted_limits.pop(listed.target, None),
             )
             _LOGGER.info('Target listed.', extra=_describe(listed))
             return
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -14,6 +14,8 @@
 from shallotgate.gateway._directory import Target
 from shallotgate.gateway._dispatch_contexts import DispatchContext
 from shallotgate.gateway._extra_permit import ExtraPermit
+from shallotgate.gateway._send_permit import SendPermit
+from shallotgate.gateway._target_selection import TargetSelection
 from shallotgate.gateway._wakeup import Wakeup
 
 _MS_PER_S = 1000
@@ -71,18 +73,18 @@
         self._settled: list[asyncio.Future[Reply]] = []
         self._wakeup = Wakeup()
         self._is_started = False
-        # Target that was chosen for the first attempt.
-        self._reserved: Target | None = None
-        self._tried: list[Target] = []
-        self._choose = partial(
-            context.choose, service, self._tried, call.route.objective_ms
-        )
         self._sends = 0
         # Attempts that failed to connect, so that nothing was sent.
         self._unsent = 0
         self._extra = ExtraPermit(
             context, service, call.trace, self._wakeup.wake
         )
+        self.selection = TargetSelection(
+            context, call, service, self._wakeup.wake
+        )
+        self._has_answer = partial(
+            _has_answer, self._extra, self.selection.permit
+        )
         # Monotonic time until which the next attempt is held; 0 if it is not.
         self._held_until: float = 0
         # Attempts that ran or may have run.
@@ -98,15 +100,6 @@
         waiting = [each for each in self._live.values() if not each.is_sent]
         return self._runs - len(waiting)
 
-    def reserve_target(self) -> bool:
-        """Choose the target of the first attempt; return whether there is one.
-
-        ``start`` has to follow without a wait, so that no other request gets
-        the same room at the target.
-        """
-        self._reserved = self._choose()
-        return self._reserved is not None
-
     def start(self) -> None:
         """Send the first attempt."""
         self._is_started = True
@@ -117,12 +110,7 @@
         if not self._is_started:
             self.start()
         try:
-            while (
-                self._live
-                or self._extra.is_pending
-                or self._extra.is_granted
-                or self._held_until
-            ):
+            while self._is_open():
                 outcome = await self._advance()
                 if outcome is not None:
                     return outcome
@@ -130,6 +118,12 @@
             self.abandon()
         return self._conclude()
 
+    def _is_open(self) -> bool:
+        """Whether anything may still lead to an answer."""
+        is_asking = self._extra.is_pending or self.selection.permit.is_pending
+        is_waiting = bool(self._live) or is_asking
+        return is_waiting or self._has_answer() or bool(self._held_until)
+
     def abandon(self) -> None:
         """Give up the attempts in flight; those not sent yet never are."""
         for attempt in self._live.values():
@@ -138,7 +132,7 @@
     async def _advance(self) -> Outcome | None:
         """Wait for the next event and handle it."""
         now = time.monotonic()
-        is_due = self._extra.is_granted and not self._held_until
+        is_due = self._has_answer() and not self._held_until
         if not (self._settled or is_due):
             wake_at = min(self._hedge_at, self._call.deadline)
             await self._wakeup.wait(wake_at - now)
@@ -148,7 +142,7 @@
             return outcome
         if time.monotonic() >= self._call.deadline:
             return self._conclude()
-        is_next_due = self._extra.is_granted or self._held_until
+        is_next_due = self._has_answer() or self._held_until
         if is_next_due or (done and not self._live):
             self._send_next(time.monotonic())
         elif not done and time.monotonic() >= self._hedge_at:
@@ -174,6 +168,7 @@
         else:
             self._try_send()
         self._extra.expire()
+        self.selection.permit.is_settled = False
 
     def process_settled(self) -> Outcome | None:
         """Process the completed attempts; return the first answer.
@@ -202,7 +197,7 @@
         now = time.monotonic()
         is_connecting = self._live and not self.sent_count
         is_replaceable = is_connecting and self._sends < _MAX_SENDS
-        other = self._choose() if is_replaceable else None
+        other = self.selection.find_replacement() if is_replaceable else None
         if other is not None:
             self._replace_unsent(other, now)
             return
@@ -247,14 +242,13 @@
         limit = route.max_attempts if route.is_repeatable else 1
         if self._runs >= limit or self._sends >= _MAX_SENDS:
             return False
-        target = self._reserved or self._choose()
-        self._reserved = None
-        if target is None:
-            self._call.trace.add('no_target', service=self._service)
-            return False
         # Only attempts after one that reached a target count as extra load.
         is_extra = self._sends > self._unsent
+        target = self.selection.find(is_extra=is_extra)
+        if target is None:
+            return False
         if is_extra and not self._extra.acquire():
+            self.selection.keep(target)
             return False
         self._send(target)
         return True
@@ -273,7 +267,7 @@
         context.warm_up.record_sent(target, now)
         self._live[attempt.future] = attempt
         attempt.future.add_done_callback(self._handle_settled)
-        self._tried.append(target)
+        self.selection.record_sent(target)
         self._sends += 1
         self._runs += 1
         self._call.trace.add(
@@ -331,3 +325,8 @@
         if self._failure is not None:
             return Outcome('failed', self._failure)
         return Outcome('not_run')
+
+
+def _has_answer(extra: ExtraPermit, permit: SendPermit) -> bool:
+    """Return whether an answer of the leader has not been looked at."""
+    return extra.is_granted or permit.is_settled
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 from shallotgate.extras import RetryBudget
@@ -10,6 +10,7 @@
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
+from shallotgate.gateway._permits import PermitSource
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
 from shallotgate.gateway._target_chooser import Pace, TargetChooser
@@ -46,6 +47,8 @@
     budget: RetryBudget
     # Grants extra attempts when the local budget is exhausted.
     retry_grants: RetryGrantSource
+    # Grants requests to targets that state a limit.
+    permits: PermitSource
     # Durations of recent replies to the route.
     latency: LatencyWindow
     # Failure domain of this entry.
@@ -60,20 +63,38 @@
     on_event: Callable[[str], None]
 
     def choose(
-        self, service: str, tried: Collection[Target], objective_ms: float
+        self,
+        service: str,
+        tried: Collection[Target],
+        objective_ms: float,
+        *,
+        may_use_limited: bool,
     ) -> Target | None:
-        """Return the best target that was not tried and has room, if any."""
+        """Return the best target that was not tried and has room, if any.
+
+        ``may_use_limited`` is whether one that states a limit is considered.
+        """
         now = time.monotonic()
-        median_ms = self.latency.quantile(0.5)
+        pace = Pace(self.latency.quantile(0.5), objective_ms)
         usable = [
             target
-            for target in self.directory.list_usable(service)
-            if self.has_room(target, median_ms, now)
-            and self.warm_up.allows(target, now)
+            for target in self._list_usable(service, pace, now)
+            if may_use_limited or target.limit_per_s is None
         ]
-        return self.chooser.choose(
-            usable, tried, Pace(median_ms, objective_ms), now
-        )
+        return self.chooser.choose(usable, tried, pace, now)
+
+    def rank_limited(
+        self, service: str, tried: Collection[Target], objective_ms: float
+    ) -> Sequence[Target]:
+        """Return the targets with a limit that were not tried, best first."""
+        now = time.monotonic()
+        pace = Pace(self.latency.quantile(0.5), objective_ms)
+        limited = [
+            target
+            for target in self._list_usable(service, pace, now)
+            if target.limit_per_s is not None
+        ]
+        return self.chooser.rank(limited, tried, pace, now)
 
     def record_reply(self, target: Target, duration_ms: float) -> None:
         """Record the duration of a reply, or a lower bound of it."""
@@ -93,6 +114,16 @@
         is_waiting = health.get_stall_ms(now) > median_ms
         return len(health.in_flight) < self.max_concurrent and not is_waiting
 
+    def _list_usable(
+        self, service: str, pace: Pace, now: float
+    ) -> list[Target]:
+        return [
+            target
+            for target in self.directory.list_usable(service)
+            if self.has_room(target, pace.median_ms, now)
+            and self.warm_up.allows(target, now)
+        ]
+
     def get_idle_timeout_s(self, target: Target) -> float | None:
         """Return how long a connection is kept after use; None for no limit.
 
@@ -136,6 +167,7 @@
         generator: random.Random,
         reporter: RequestReporter,
         retry_grants: RetryGrantSource,
+        permits: PermitSource,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -143,6 +175,7 @@
         self._generator = generator
         self._reporter = reporter
         self._retry_grants = retry_grants
+        self._permits = permits
         self._chooser = TargetChooser(options.domain, generator)
         self._started_at = time.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
@@ -203,6 +236,7 @@
             chooser=self._chooser,
             budget=self._get_budget(service.name),
             retry_grants=self._retry_grants,
+            permits=self._permits,
             latency=self.get_latency(route),
             domain=self._options.domain,
             max_connections=max(int(connections), 1),
--- a/shallotgate/gateway/_fan_out.py
+++ b/shallotgate/gateway/_fan_out.py
@@ -11,6 +11,9 @@
 from shallotgate.gateway._call import Call
 from shallotgate.gateway._dispatch import Dispatch, Outcome
 from shallotgate.gateway._options import RECORD_BYTES
+from shallotgate.gateway._permits import LimitedChoice, PermitSource
+from shallotgate.gateway._send_permit import get_granted, make_limited_choice
+from shallotgate.target_limits import DENIED
 
 # Hedges are sent only while at most this share of the shards is missing. If
 # more are, the cause is common to them, like the start of this entry or a busy
@@ -62,12 +65,15 @@
         self,
         call: Call,
         make_dispatch: DispatchFactory,
+        permits: PermitSource,
     ) -> None:
         self._call = call
+        self._permits = permits
         shards = call.route.shards
         self._dispatches = [
             make_dispatch(shard, self._may_hedge) for shard in shards
         ]
+        self._selections = [each.selection for each in self._dispatches]
         self._parts: list[Outcome] = []
         # Replies required for an answer. The product of a share like 0.56 and
         # 25 is slightly above the whole number that it stands for.
@@ -85,11 +91,12 @@
         If too few shards have a target now, no target is asked: the caller may
         find another entry in a better state.
         """
-        if sum(each.reserve_target() for each in self._dispatches) < (
-            self._needed
-        ):
+        if sum(each.reserve() for each in self._selections) < self._needed:
             self._call.trace.add('too_few_targets', needed=self._needed)
             return FanOutResult('not_run')
+        if not await self._acquire_permits():
+            self._call.trace.add('too_few_permits', needed=self._needed)
+            return FanOutResult('not_run')
         for each in self._dispatches:
             each.start()
         tasks = [
@@ -106,6 +113,52 @@
         self._collect_settled(tasks)
         return self._conclude()
 
+    async def _acquire_permits(self) -> bool:
+        """Acquire permits for targets that state a limit.
+
+        Returns whether enough shards have a target then. All shards are asked
+        for at once: if too few are granted, none is used up.
+        """
+        limited = [each for each in self._selections if each.needs_permit]
+        if not limited:
+            return True
+        choices = [each.rank_limited() for each in limited]
+        # Shards that have a target without a limit, too.
+        open_count = sum(
+            each.reserve(may_use_limited=False) for each in self._selections
+        )
+        needed = max(self._needed - open_count, 0)
+        granted = await self._request_permits(
+            make_limited_choice(self._call, needed, choices)
+        )
+        for selection in self._selections:
+            selection.reserve(may_use_limited=False)
+        for asking, choice, position in zip(
+            limited, choices, granted, strict=True
+        ):
+            asking.settle_permit(get_granted(choice, position))
+        reserved = sum(each.is_reserved for each in self._selections)
+        self._call.trace.add(
+            'asked_for_permits',
+            shards=len(limited),
+            needed=needed,
+            granted=sum(one != DENIED for one in granted),
+        )
+        return reserved >= self._needed
+
+    async def _request_permits(self, choice: LimitedChoice) -> Sequence[int]:
+        answer: asyncio.Future[Sequence[int]] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def settle(granted: Sequence[int]) -> None:  # noqa: WPS430
+            # The caller may have left meanwhile.
+            if not answer.done():
+                answer.set_result(granted)
+
+        self._permits.request(choice, settle)
+        return await answer
+
     def _collect_settled(self, tasks: Sequence['asyncio.Task[None]']) -> None:
         """Collect replies that arrived at the same moment as the end."""
         for task, dispatch in zip(tasks, self._dispatches, strict=True):
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -9,6 +9,7 @@
 from shallotgate.errors import FindingsError, TransportError
 from shallotgate.generated.messages import (
     AskExtras,
+    AskPermits,
     CrashReport,
     FollowTier,
     ObservedReplies,
@@ -84,7 +85,7 @@
 
     def send_to_leader(
         self,
-        message: ObservedReplies | AskExtras | CrashReport,
+        message: ObservedReplies | AskExtras | AskPermits | CrashReport,
     ) -> bool:
         """Send a message to the leader; return whether it was sent.
 
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from shallotgate.gateway._drain import Drain
 from shallotgate.gateway._fan_out import DispatchFactory, FanOut, FanOutResult
 from shallotgate.gateway._options import GatewayOptions
+from shallotgate.gateway._permits import PermitSource
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
 from shallotgate.gateway._wire import WireCodec
@@ -41,6 +42,7 @@
         generator: random.Random,
         reporter: RequestReporter,
         retry_grants: RetryGrantSource,
+        permits: PermitSource,
         blocklist: ContentBlocklist,
     ) -> None:
         self._wire = wire
@@ -49,8 +51,15 @@
         self._reporter = reporter
         self._blocklist = blocklist
         self._active: ActiveTable | None = None
+        self._permits = permits
         self._contexts = DispatchContextCache(
-            wire, directory, options, generator, reporter, retry_grants
+            wire,
+            directory,
+            options,
+            generator,
+            reporter,
+            retry_grants,
+            permits,
         )
         self._drain = Drain()
 
@@ -155,7 +164,9 @@
             return self._wire.refuse(503, blocked_s)
         make_dispatch = self._make_dispatch_factory(call, active)
         if call.route.shards:
-            fan_out_result = await FanOut(call, make_dispatch).run()
+            fan_out_result = await FanOut(
+                call, make_dispatch, self._permits
+            ).run()
             return self._answer_gathered(call, fan_out_result)
         service = active.choose_service(call.route)
         outcome = await make_dispatch(service, _always).run()
--- a/shallotgate/gateway/_reply_stats.py
+++ b/shallotgate/gateway/_reply_stats.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from shallotgate.generated.messages import ObservedReplies
+from shallotgate.target_limits import NO_LIMIT
 
 # Upper bound of a single slowness ratio: a short pause does not make a target
 # slow, several such replies in a row do.
@@ -15,10 +16,6 @@
 _REPORT_THRESHOLD = 3
 
 
-# Stands in messages for the limit of a target that states none any more.
-NO_LIMIT = -1.0
-
-
 class ReplyStats:
     """Counts of replies and failures by target; used from several threads.
 
--- a/shallotgate/gateway/_target_chooser.py
+++ b/shallotgate/gateway/_target_chooser.py
@@ -17,6 +17,9 @@
 # of the median. It costs another attempt, and without one the request.
 _FAILURE_PENALTY_MS = 60.0
 _FAILURE_PENALTY_MEDIANS = 4.0
+# Penalty for a target that states a limit, in medians: it needs a permit, and
+# should be left to requests that have no other target.
+_LIMITED_MEDIANS = 1.5
 # Approximate slowdown of a target that is still warming up.
 _COLD_FACTOR = 2.0
 # Random spread of the costs, so that entries with the same view do not all
@@ -63,16 +66,24 @@
         now: float,
     ) -> Target | None:
         """Return the best untried target, or None if there is none."""
-        best = None
-        best_cost = float('inf')
-        for target in targets:
-            if target in tried or target.health.is_down(now):
-                continue
-            cost = self._estimate_ms(target, pace, now)
-            if cost < best_cost:
-                best = target
-                best_cost = cost
-        return best
+        return min(
+            _list_open(targets, tried, now),
+            key=lambda target: self._estimate_ms(target, pace, now),
+            default=None,
+        )
+
+    def rank(
+        self,
+        targets: Sequence[Target],
+        tried: Collection[Target],
+        pace: Pace,
+        now: float,
+    ) -> list[Target]:
+        """Return the untried targets, best first."""
+        return sorted(
+            _list_open(targets, tried, now),
+            key=lambda target: self._estimate_ms(target, pace, now),
+        )
 
     def _estimate_ms(
         self,
@@ -96,4 +107,17 @@
         cost += failures * pace.failure_penalty_ms + target.pool.acquire_ms
         if target.listed.domain != self._domain:
             cost += pace.remote_penalty_ms
+        if target.limit_per_s is not None:
+            cost += pace.median_ms * _LIMITED_MEDIANS
         return cost * (1 + _JITTER * self._generator.random())
+
+
+def _list_open(
+    targets: Sequence[Target], tried: Collection[Target], now: float
+) -> list[Target]:
+    """Return the targets that may be chosen."""
+    return [
+        target
+        for target in targets
+        if target not in tried and not target.health.is_down(now)
+    ]
--- a/shallotgate/gateway/tests/test_fan_out.py
+++ b/shallotgate/gateway/tests/test_fan_out.py
@@ -20,9 +20,15 @@
     async def run(self):
         await asyncio.sleep(10)
 
-    def reserve_target(self):
+    def reserve(self):
         return True
 
+    @property
+    def selection(self):
+        return self
+
+    needs_permit = False
+
     def start(self):
         """The reply is there already."""
 
@@ -59,7 +65,9 @@
             deadline=now + 0.1,
             answer_by=now + 0.05,
         )
-        return await FanOut(call, lambda name, may: LateDispatch()).run()
+        return await FanOut(
+            call, lambda name, may: LateDispatch(), permits=None
+        ).run()
 
     gathered = run_virtual(play())
     assert gathered.status == 'answered'
--- a/shallotgate/gateway/tests/test_target_limits.py
+++ b/shallotgate/gateway/tests/test_target_limits.py
@@ -92,3 +92,176 @@
 
     _, broken = run_virtual(play())
     assert broken == []
+
+
+def make_tier(entries=6, shards=10, **fields):
+    return SimulatedTier(
+        entries,
+        shards=shards,
+        objective_ms=OBJECTIVE_MS,
+        **{'min_coverage': 0.89, **fields},
+    )
+
+
+def share_answered(answers):
+    good = [one for one, _ in answers if one.status == 200]
+    return len(good) / len(answers)
+
+
+def test_change_of_the_leader_does_not_add_to_the_limits():
+    """Guards against a leader that grants again what the former one granted.
+
+    There is no leader for a second, then one that knows of no limits.
+    """
+
+    async def change(tier):
+        await asyncio.sleep(8)
+        tier.end_leadership()
+        await asyncio.sleep(1)
+        tier.begin_leadership(asyncio.get_running_loop().time())
+
+    async def play():
+        tier = make_tier()
+        changing = asyncio.ensure_future(change(tier))
+        answers, broken = await play_limited(tier, 90)
+        await changing
+        return answers, broken
+
+    answers, broken = run_virtual(play())
+    assert broken == []
+    assert share_answered(answers) > 0.5
+
+
+@pytest.mark.parametrize(('entries', 'lost'), [(6, 6), (6, 3), (191, 100)])
+def test_entries_out_of_touch_keep_to_a_small_share(entries, lost):
+    """Guards against entries that send as much as they like on their own."""
+
+    async def play():
+        tier = make_tier(entries, shards=10, min_coverage=0.1)
+        sharing = asyncio.ensure_future(tier.exchange_reports())
+        await tier.send_requests(180, 90)
+        limited = limit_targets(tier, 90)
+        await tier.send_requests(180, 90)
+        for entry in tier.entries[:lost]:
+            entry.limits = None
+            entry.allocator = None
+        since = asyncio.get_running_loop().time()
+        await tier.send_requests(900, 90)
+        sharing.cancel()
+        return list_broken(limited, since)
+
+    assert run_virtual(play()) == []
+
+
+def test_entry_that_starts_learns_the_limits_at_once():
+    """Guards against a first request of each entry without a permit."""
+
+    async def play():
+        tier = make_tier(entries=40, shards=3)
+        sharing = asyncio.ensure_future(tier.exchange_reports())
+        # Only the first entry has seen replies.
+        for target in tier.list_all_targets():
+            target.limit_per_s = 10
+        for number in range(20):
+            await tier.entries[0].send_request(f'a{number}')
+        await asyncio.sleep(2)
+        sharing.cancel()
+        return [
+            target.limit_per_s
+            for entry in tier.entries
+            for service in tier.targets
+            for target in entry.directory.list_usable(service)
+        ]
+
+    assert set(run_virtual(play())) == {10}
+
+
+def test_load_returns_when_the_limit_ends():
+    """Guards against a limit that outlives the need of its targets."""
+
+    async def play():
+        tier = make_tier()
+        sharing = asyncio.ensure_future(tier.exchange_reports())
+        await tier.send_requests(180, 90)
+        for target in tier.list_all_targets():
+            target.limit_per_s = 2
+        short = await tier.send_requests(450, 90)
+        for target in tier.list_all_targets():
+            target.limit_per_s = 0
+        await tier.send_requests(180, 90)
+        after = await tier.send_requests(180, 90)
+        sharing.cancel()
+        return share_answered(short), share_answered(after)
+
+    short, after = run_virtual(play())
+    assert short < 0.5
+    assert after == 1
+
+
+def test_requests_go_to_replicas_without_a_limit():
+    """Guards against refusals and waits while another replica has room."""
+
+    async def play():
+        tier = make_tier()
+        sharing = asyncio.ensure_future(tier.exchange_reports())
+        await tier.send_requests(180, 90)
+        for targets in tier.targets.values():
+            for target in targets[:2]:
+                target.limit_per_s = 1
+        answers = await tier.send_requests(450, 90)
+        sharing.cancel()
+        return answers
+
+    answers = run_virtual(play())
+    in_time = [duration for _, duration in answers if duration < OBJECTIVE_MS]
+    assert share_answered(answers) == 1
+    assert len(in_time) > 0.97 * len(answers)
+
+
+def test_what_does_not_fit_is_refused_at_once():
+    """Guards against requests that wait for targets without room."""
+
+    async def play():
+        tier = make_tier()
+        sharing = asyncio.ensure_future(tier.exchange_reports())
+        await tier.send_requests(180, 90)
+        for target in tier.list_all_targets():
+            target.limit_per_s = 15
+        await tier.send_requests(90, 90)
+        answers = await tier.send_requests(900, 90)
+        sharing.cancel()
+        return answers
+
+    answers = run_virtual(play())
+    refused = [duration for one, duration in answers if one.status == 503]
+    # Three replicas of a shard take 45 of 90 requests a second together. As an
+    # answer needs nine of ten shards, a few more can be given.
+    assert 0.45 < share_answered(answers) < 0.6
+    assert max(refused) < OBJECTIVE_MS / 4
+
+
+@pytest.mark.parametrize('limit', [0, 0.1, 1])
+def test_small_limits_hold(limit):
+    """Guards against a target without requests, whose limit never ends."""
+
+    async def play():
+        tier = make_tier(min_coverage=0.1)
+        sharing = asyncio.ensure_future(tier.exchange_reports())
+        await tier.send_requests(180, 90)
+        targets = tier.list_all_targets()
+        for target in targets:
+            # A limit of 0 would not be stated by the simulated target.
+            target.limit_per_s = limit or 1e-9
+        await tier.send_requests(360, 90)
+        since = asyncio.get_running_loop().time()
+        await tier.send_requests(1800, 90)
+        sharing.cancel()
+        counts = [
+            len([at for at in target.received_at if at > since])
+            for target in targets
+        ]
+        return list_broken(targets, since), counts
+
+    broken, counts = run_virtual(play())
+    assert broken == []
+    assert min(counts) > 0
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -24,6 +24,7 @@
     FollowerService,
     ListingPoller,
     OperatorService,
+    PermitService,
     RegistryClient,
     RegistryState,
     RetryGrantService,
@@ -36,6 +37,9 @@
 
 _LOGGER = get_logger('node')
 _START_ID_BYTES = 8
+# Bits of the random first revision of the limits, which keeps revisions of
+# different leaders distinct.
+_REVISION_BITS = 48
 _MS_PER_S = 1000
 # Polls of the list within the time in which a leaving target must stop
 # receiving work: one poll and one delivery to the entries may fail.
@@ -101,7 +105,7 @@
             ),
             is_leading=self._log.is_leading,
         )
-        self._limits = LimitBoard()
+        self._limits = LimitBoard(secrets.randbits(_REVISION_BITS))
         self._client = RegistryClient(self._mailbox, self._log, state)
         self._followers = FollowerService(
             mailbox=self._mailbox,
@@ -121,6 +125,7 @@
             self._log,
             RetryGrantPool(get_retry_budget_policy(settings)),
         )
+        self._permits = PermitService(self._mailbox, self._log, self._limits)
         self._server = AsyncHttpServer(
             settings.operator_address,
             make_handler(OperatorService(self._client, codec)),
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -18,6 +18,7 @@
     Directory,
     Gateway,
     GatewayOptions,
+    PermitClient,
     RequestReporter,
     RetryGrantClient,
     TierFollower,
@@ -27,6 +28,7 @@
     BarContent,
     FollowTier,
     GrantExtras,
+    GrantPermits,
     TierUpdate,
 )
 from shallotgate.generated.node import NodeSettings
@@ -77,6 +79,12 @@
             lambda ask: self._follower.send_to_leader(ask),
             lambda: self._gateway.entries,
         )
+        generator = random.Random()  # noqa: S311 - no secret
+        self._permits = PermitClient(
+            lambda ask: self._follower.send_to_leader(ask),
+            lambda: self._gateway.entries,
+            generator,
+        )
         self._blocklist = ContentBlocklist(
             lambda report: self._follower.send_to_leader(report)
         )
@@ -84,9 +92,10 @@
             wire=wire,
             directory=self._directory,
             options=_make_gateway_options(settings),
-            generator=random.Random(),  # noqa: S311 - no secret
+            generator=generator,
             reporter=RequestReporter(self._metrics),
             retry_grants=self._retry_grants,
+            permits=self._permits,
             blocklist=self._blocklist,
         )
         self._mailbox = Mailbox(
@@ -95,6 +104,7 @@
             listen_address=get_listen_address(settings),
         )
         self._mailbox.subscribe(GrantExtras, self._on_grant)
+        self._mailbox.subscribe(GrantPermits, self._on_permits)
         self._mailbox.subscribe(BarContent, self._on_bar_content)
         self._follower = TierFollower(
             mailbox=self._mailbox,
@@ -165,6 +175,7 @@
             conditions_revision=self._directory.conditions_revision,
             merges_conditions=True,
             entries=self._gateway.entries,
+            limits_revision=self._directory.limits_revision,
         )
 
     def _report_degradation(self) -> None:
@@ -184,6 +195,13 @@
                 delivery.message,
             )
 
+    def _on_permits(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._permits.handle_grant,
+                delivery.message,
+            )
+
     def _on_bar_content(self, delivery: Delivery) -> None:
         if self._loop is not None:
             self._loop.call_soon_threadsafe(
@@ -225,6 +243,8 @@
         if update.listing is not None:
             self._directory.update(update.listing)
         self._directory.apply_conditions(update.conditions)
+        if update.limits is not None:
+            self._directory.apply_limits(update.limits)
 
 
 def _make_gateway_options(settings: NodeSettings) -> GatewayOptions:
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -6,6 +6,7 @@
 from shallotgate.registry._followers import FollowerService
 from shallotgate.registry._listing import ListingPoller, TargetListing
 from shallotgate.registry._operators import OperatorService, OrderResult
+from shallotgate.registry._permits import PermitService
 from shallotgate.registry._retry_grants import RetryGrantService
 from shallotgate.registry._state import RegistryState
 
@@ -17,6 +18,7 @@
     'ListingPoller',
     'OperatorService',
     'OrderResult',
+    'PermitService',
     'RegistryClient',
     'RegistryState',
     'RetryGrantService',
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -227,4 +227,5 @@
                 message.conditions_revision,
                 merges=message.merges_conditions,
             ),
+            limits=self._limits.make_update(message.limits_revision),
         )
--- a/shallotgate/target_limits/_board.py
+++ b/shallotgate/target_limits/_board.py
@@ -1,10 +1,11 @@
 """Limits that targets state, as known to the leader."""
 
 import threading
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from shallotgate.extras import SlidingWindowCounter
-from shallotgate.generated.messages import ObservedReplies
+from shallotgate.generated.messages import ObservedReplies, TargetLimits
 from shallotgate.logs import get_logger
 
 _LOGGER = get_logger('limits')
@@ -14,6 +15,8 @@
 _WINDOW_S = 4.0
 _TOLERANCE = 1.5
 _SLACK = 5
+# Stands in messages for the limit of a target that states none any more.
+NO_LIMIT = -1.0
 # A limit that no entry states, and nobody asks for, is forgotten after this
 # time: the target is gone.
 _RETENTION_S = 60.0
@@ -36,6 +39,9 @@
 class LimitBoard:
     """Limits of targets, as stated in the replies that entries observed.
 
+    The newest report counts. A limit that has ended is kept for a while, so
+    that all entries learn of it.
+
     Thread-safe; ``now`` is always in monotonic seconds.
 
     >>> from shallotgate.generated.messages import ObservedReplies
@@ -49,9 +55,11 @@
     {'t': 12.5}
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_revision: int = 0) -> None:
+        """Start at a revision that differs from those of other leaders."""
         self._lock = threading.Lock()
         self._stated: dict[str, _StatedLimit] = {}
+        self._revision = first_revision
 
     def record_replies(self, observed: ObservedReplies, now: float) -> None:
         """Record changed limits and count the replies of limited targets."""
@@ -59,7 +67,7 @@
             for target, limit in zip(
                 observed.limited, observed.limits, strict=True
             ):
-                self._set(target, limit if limit >= 0 else None, now)
+                self._set(target, None if limit == NO_LIMIT else limit, now)
             for target, replies in zip(
                 observed.targets, observed.replies, strict=True
             ):
@@ -67,6 +75,32 @@
                 if stated is not None:
                     self._count(target, stated, replies, now)
 
+    def record_needed(
+        self, targets: Sequence[str], limits: Sequence[float], now: float
+    ) -> None:
+        """Record limits that an entry keeps to; they may be new to a leader."""
+        with self._lock:
+            for target, limit in zip(targets, limits, strict=True):
+                stated = self._stated.get(target)
+                if stated is None:
+                    self._set(target, limit, now)
+                else:
+                    stated.used_at = now
+
+    def make_update(self, known_revision: int) -> TargetLimits | None:
+        """Return all limits, or None if the follower is up to date."""
+        with self._lock:
+            if known_revision == self._revision or not self._stated:
+                return None
+            return TargetLimits(
+                revision=self._revision,
+                targets=list(self._stated),
+                limits=[
+                    NO_LIMIT if stated.per_s is None else stated.per_s
+                    for stated in self._stated.values()
+                ],
+            )
+
     def list_limits(self, now: float) -> dict[str, float]:
         """Return the limits in requests a second, by target."""
         with self._lock:
@@ -82,8 +116,11 @@
         if stated is None:
             self._stated[target] = _StatedLimit(per_s, now)
         else:
-            stated.per_s = per_s
             stated.used_at = now
+            if stated.per_s == per_s:
+                return
+            stated.per_s = per_s
+        self._revision += 1
         _LOGGER.info(
             'Target states another limit.',
             extra={'target': target, 'limit_per_s': per_s},
--- /dev/null
+++ b/shallotgate/target_limits/_fallback.py
@@ -0,0 +1,77 @@
+"""Share of the limits that an entry uses without an answer of the leader."""
+
+import random
+from collections.abc import Mapping, Sequence
+
+from shallotgate.generated.messages import PermitRequest
+from shallotgate.target_limits._allocator import DENIED
+from shallotgate.target_limits._rates import FALLBACK_SHARE, get_rate
+
+
+class FallbackShare:
+    """Grants requests at an even part of a small share of each limit.
+
+    A target is used at most once per interval, first at a random time within
+    it, so that entries that lose the leader together do not all send at once.
+    ``now`` is always in monotonic seconds.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        # Earliest time of the next request, by target.
+        self._next_at: dict[str, float] = {}
+
+    def reset(self) -> None:
+        """Forget all targets: the leader answers again."""
+        self._next_at.clear()
+
+    def grant(
+        self,
+        request: PermitRequest,
+        limits: Mapping[str, float],
+        entries: int,
+        now: float,
+    ) -> list[int]:
+        """Return the position of the granted target of each choice.
+
+        ``entries`` share the limits; if the number is unknown, which is given
+        as 0, nothing is granted. Requests that do not need a target get none.
+        """
+        denied = [DENIED for _ in request.choices]
+        if not entries or not request.needed:
+            return denied
+        intervals = {
+            target: entries / (get_rate(limits[target]) * FALLBACK_SHARE)
+            for choice in request.choices
+            for target in choice
+        }
+        positions = [
+            self._find_due(choice, intervals, now) for choice in request.choices
+        ]
+        due = [
+            index
+            for index, position in enumerate(positions)
+            if position != DENIED
+        ]
+        if len(due) < request.needed:
+            return denied
+        for index in due[: request.needed]:
+            target = request.choices[index][positions[index]]
+            self._next_at[target] = now + intervals[target]
+            denied[index] = positions[index]
+        return denied
+
+    def _find_due(
+        self,
+        choice: Sequence[str],
+        intervals: Mapping[str, float],
+        now: float,
+    ) -> int:
+        for position, target in enumerate(choice):
+            due_at = self._next_at.get(target)
+            if due_at is None:
+                due_at = now + intervals[target] * self._generator.random()
+                self._next_at[target] = due_at
+            if due_at <= now:
+                return position
+        return DENIED
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -11,18 +11,22 @@
     Directory,
     Gateway,
     GatewayOptions,
+    PermitClient,
     RequestReporter,
     RetryGrantClient,
 )
 from shallotgate.generated.messages import (
     AskExtras,
+    AskPermits,
     CrashReport,
     GrantExtras,
+    GrantPermits,
     ListedTarget,
     ListingUpdate,
 )
 from shallotgate.metrics import Metrics
 from shallotgate.routes import Route, RoutingTable, Service, WeightedService
+from shallotgate.target_limits import LimitBoard, PermitAllocator
 from testkit.gateway._plain_wire import PlainWire
 from testkit.gateway._targets import SimulatedPool, SimulatedTarget
 
@@ -71,6 +75,15 @@
             self._ask_leader,
             lambda: self.gateway.entries,
         )
+        # Limits of targets and permits of the leader; None while no leader is
+        # known.
+        self.limits: LimitBoard | None = None
+        self.allocator: PermitAllocator | None = None
+        self._permits = PermitClient(
+            self._ask_permits,
+            lambda: self.gateway.entries,
+            random.Random(seed),  # noqa: S311 - no secret
+        )
         # Crash reports sent to the leader.
         self.reports: list[CrashReport] = []
         self.blocklist = ContentBlocklist(self.reports.append)
@@ -81,6 +94,7 @@
             generator=random.Random(seed),  # noqa: S311 - no secret
             reporter=RequestReporter(Metrics()),
             retry_grants=self._retry_grants,
+            permits=self._permits,
             blocklist=self.blocklist,
         )
         self.gateway.entries = 1
@@ -183,6 +197,23 @@
         )
         return True
 
+    def _ask_permits(self, ask: AskPermits) -> bool:
+        if self.allocator is None or self.limits is None:
+            return False
+        loop = asyncio.get_running_loop()
+        self.limits.record_needed(ask.limited, ask.limits, loop.time())
+        limits = self.limits.list_limits(loop.time())
+        granted = GrantPermits(
+            number=ask.number,
+            leading=True,
+            granted=[
+                self.allocator.grant(request, limits, loop.time())
+                for request in ask.requests
+            ],
+        )
+        loop.call_later(_LEADER_LATENCY_S, self._permits.handle_grant, granted)
+        return True
+
     def _list_targets(self) -> None:
         listed = [
             ListedTarget(
--- a/testkit/gateway/_tier.py
+++ b/testkit/gateway/_tier.py
@@ -6,6 +6,7 @@
 from shallotgate.aio import Response
 from shallotgate.extras import RetryBudgetPolicy, RetryGrantPool
 from shallotgate.registry import ConditionTracker
+from shallotgate.target_limits import LimitBoard, PermitAllocator
 from testkit.gateway._simulation import (
     ALLOWED_RATIO,
     DOMAINS,
@@ -20,6 +21,8 @@
 _LONG_POLL_S = 0.8
 # Interval at which the leader checks for changes, in seconds.
 _CHECK_INTERVAL_S = 0.05
+# Keeps the revisions of the limits of two leaders distinct.
+_REVISIONS_PER_LEADER = 1_000_000
 
 
 class SimulatedTier:
@@ -60,6 +63,25 @@
             entry.gateway.entries = entries
             entry.pool = pool if has_leader else None
         self._conditions = ConditionTracker(0)
+        self._leader_count = 0
+        if has_leader:
+            self.begin_leadership(float('-inf'))
+
+    def begin_leadership(self, now: float) -> None:
+        """Let a new leader grant permits; it knows of no limits."""
+        self._leader_count += 1
+        limits = LimitBoard(self._leader_count * _REVISIONS_PER_LEADER)
+        allocator = PermitAllocator()
+        allocator.activate(now)
+        for entry in self.entries:
+            entry.limits = limits
+            entry.allocator = allocator
+
+    def end_leadership(self) -> None:
+        """Leave the entries without a leader that grants permits."""
+        for entry in self.entries:
+            entry.limits = None
+            entry.allocator = None
 
     async def send_requests(
         self,
@@ -107,10 +129,21 @@
                     entry.directory.conditions_revision, merges=True
                 )
             )
+            _apply_limits(entry)
 
     def _send_report(self, entry: SimulatedEntry) -> None:
         observed = entry.directory.reply_stats.drain()
-        if observed is not None:
-            self._conditions.record_replies(
-                observed, asyncio.get_running_loop().time()
-            )
+        if observed is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._conditions.record_replies(observed, now)
+        if entry.limits is not None:
+            entry.limits.record_replies(observed, now)
+
+
+def _apply_limits(entry: SimulatedEntry) -> None:
+    if entry.limits is None:
+        return
+    limits = entry.limits.make_update(entry.directory.limits_revision)
+    if limits is not None:
+        entry.directory.apply_limits(limits)
