--- a/shallotgate/codec/__init__.py
+++ b/shallotgate/codec/__init__.py
@@ -1,6 +1,7 @@
 """MessagePack codec for internal messages, JSON codec for external ones."""
 
 from shallotgate.codec._tagged import (
+    DECODE_ERRORS,
     CodecError,
     decode_json,
     decode_named,
@@ -12,6 +13,7 @@
 )
 
 __all__ = (
+    'DECODE_ERRORS',
     'CodecError',
     'decode_json',
     'decode_named',
--- a/shallotgate/codec/_tagged.py
+++ b/shallotgate/codec/_tagged.py
@@ -36,6 +36,11 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
+# Errors of a decoder whose input was written by others. Very deep nesting
+# raises the last one.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
 class CodecError(ShallotgateError):
     """The input is not a valid message of the expected type."""
 
@@ -110,7 +115,7 @@
     decoder = _get_json_decoder(expected_type)
     try:
         return cast(_T, decoder.decode(encoded))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise CodecError(str(error)) from error
 
 
--- a/shallotgate/registry/_listing.py
+++ b/shallotgate/registry/_listing.py
@@ -96,9 +96,14 @@
     def _read(self) -> None:
         try:
             targets = self._listing.read()
-        except ShallotgateError as error:
+        except Exception as error:
+            # Of any kind: without this thread the list is not followed.
             if not self._is_failing:
-                _LOGGER.warning('List of targets cannot be read: %s.', error)
+                _LOGGER.warning(
+                    'List of targets cannot be read: %s.',
+                    error,
+                    exc_info=not isinstance(error, ShallotgateError),
+                )
             self._is_failing = True
             return
         if self._is_failing:
--- a/shallotgate/registry/tests/test_listing.py
+++ b/shallotgate/registry/tests/test_listing.py
@@ -13,7 +13,8 @@
 
     def __init__(self):
         self.targets = {}
-        self.is_failing = False
+        # Error of the next reads; None if they succeed.
+        self.error = None
         self.reads = 0
 
     def put(self, name, **fields):
@@ -27,8 +28,8 @@
 
     def read(self):
         self.reads += 1
-        if self.is_failing:
-            raise ShallotgateError('no answer')
+        if self.error is not None:
+            raise self.error
         return list(self.targets.values())
 
 
@@ -98,12 +99,21 @@
     assert reader.make_update('me', 1).full
 
 
-def test_failed_read_keeps_the_list(reader, listing):
-    """Guards against a platform outage that removes all targets."""
-    listing.is_failing = True
+@pytest.mark.parametrize(
+    'error', [ShallotgateError('no answer'), RecursionError(), ValueError()]
+)
+def test_failed_read_keeps_the_list(reader, listing, error):
+    """Guards against a platform outage that removes all targets.
+
+    Also against an error of another kind that ends the polling.
+    """
+    listing.error = error
     reads = listing.reads
     wait(lambda: listing.reads > reads + 2)
     assert len(reader.make_update('', -1).targets) == 2
+    listing.error = None
+    listing.put('t3')
+    wait(lambda: len(reader.make_update('', -1).targets) == 3)
 
 
 def test_only_the_leader_reads(reader, listing):
