Leave list entries out that name no usable target

Ports of 0 and 70000 or that are no number, an empty address, slots of 0, -1 and 2^70 and a warm-up of 1e308 ms were taken as they came. With numbers beyond 64 bits the leader could send no list to any entry, so none was followed; an id with a line break would have begun another header of a request.

--- a/shallotgate/registry/_listing.py
+++ b/shallotgate/registry/_listing.py
@@ -9,6 +9,7 @@
 from shallotgate.errors import ShallotgateError
 from shallotgate.generated.messages import ListedTarget, ListingUpdate
 from shallotgate.logs import get_logger
+from shallotgate.registry._listed_targets import ListedTargetFilter
 
 _LOGGER = get_logger('listing')
 # Changes retained, so that a follower that lags slightly needs no full list.
@@ -50,6 +51,7 @@
         self._revision = 0
         self._changes: list[_Change] = []
         self._callbacks: list[Callable[[], None]] = []
+        self._filter = ListedTargetFilter()
         self._is_failing = False
         # Monotonic time of the last successful read.
         self.last_read_at = float('-inf')
@@ -110,7 +112,9 @@
             _LOGGER.info('List of targets is readable again.')
         self._is_failing = False
         self.last_read_at = time.monotonic()
-        self._replace_targets({listed.target: listed for listed in targets})
+        self._replace_targets(
+            {listed.target: listed for listed in self._filter.select(targets)}
+        )
 
     def _replace_targets(self, targets: Mapping[str, ListedTarget]) -> None:
         with self._lock:
--- a/shallotgate/registry/tests/test_listing.py
+++ b/shallotgate/registry/tests/test_listing.py
@@ -19,11 +19,13 @@
 
     def put(self, name, **fields):
         self.targets[name] = ListedTarget(
-            target=name,
-            service='s',
-            address='127.0.0.1:1',
-            domain='a',
-            **fields,
+            **{
+                'target': name,
+                'service': 's',
+                'address': '127.0.0.1:1',
+                'domain': 'a',
+                **fields,
+            }
         )
 
     def read(self):
@@ -123,3 +125,42 @@
     reads = listing.reads
     time.sleep(0.1)
     assert listing.reads == reads
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'address': '127.0.0.1:0'},
+        {'address': '127.0.0.1:70000'},
+        {'address': '127.0.0.1:http'},
+        {'address': '127.0.0.1:\u0663'},
+        {'address': '127.0.0.1:' + '9' * 900},
+        {'address': ':80'},
+        {'address': '127.0.0.1'},
+        {'address': ''},
+        {'slots': 0},
+        {'slots': -1},
+        {'slots': 2**70},
+        {'warm_up_ms': int(1e308)},
+        {'warm_up_ms': -1},
+        {'service': ''},
+        {'target': ''},
+        {'target': 't3\r\nX-Odd: 1'},
+        {'target': 't' * 100_000},
+    ],
+)
+def test_odd_entry_is_left_out_and_logged_once(reader, listing, fields, caplog):
+    """Guards against an entry of another writer that harms the others.
+
+    It must not be sent to entries: they can't connect to it, choose it for all
+    requests, or don't get the list at all.
+    """
+    listing.put('odd', **fields)
+    listing.put('t3')
+    wait(lambda: len(reader.make_update('', -1).targets) == 3)
+    reads = listing.reads
+    wait(lambda: listing.reads > reads + 2)
+    names = {target.target for target in reader.make_update('', -1).targets}
+    assert names == {'t1', 't2', 't3'}
+    lines = [one for one in caplog.messages if 'left out' in one]
+    assert len(lines) == 1
