Survive odd input in all that reads what others wrote

Deep nesting raised RecursionError in the decoding of tables (500 in place of 400, so that the operator asks on), of replies and reports of targets and of matches; a table with numbers beyond what can be computed with was taken and failed each of its requests; a report with a version beyond 64 bits kept the reports of all targets of an owner from the entries; a header with thousands of digits lost the reply; one odd entry of the product's own list of instances cost the list.

One tuple of errors serves all decoders of foreign JSON, and counts are bounded. A list of instances of which no entry can be read is a failed read, as before.

--- a/shallotgate/aio/_target_connection.py
+++ b/shallotgate/aio/_target_connection.py
@@ -22,6 +22,8 @@
 # because a request that crosses the close may or may not have run.
 _KEEP_ALIVE_MARGIN_S = 0.5
 _CLOSE = b'close'
+# Digits of the longest number of seconds that is read.
+_MAX_DIGITS = 9
 
 
 @dataclass(frozen=True)
@@ -234,6 +236,7 @@
     """Return how long an idle connection is kept; infinite if not stated."""
     for part in text.split(b','):
         key, _, seconds = part.strip().partition(b'=')
-        if key.lower() == b'timeout' and seconds.isdigit():
+        is_number = seconds.isdigit() and len(seconds) <= _MAX_DIGITS
+        if key.lower() == b'timeout' and is_number:
             return max(int(seconds) - _KEEP_ALIVE_MARGIN_S, 0)
     return float('inf')
--- a/shallotgate/aio/tests/test_target_connection.py
+++ b/shallotgate/aio/tests/test_target_connection.py
@@ -72,6 +72,14 @@
     assert (reply.status, reply.body) == (200, b'ok')
 
 
+def test_idle_timeout_without_end_is_ignored():
+    """Guards against a reply that is lost because of one odd header."""
+    head, _, rest = OWN.partition(b'\r\n')
+    keep_alive = b'Keep-Alive: timeout=' + b'9' * 5000
+    reply, _ = exchange(b'\r\n'.join((head, keep_alive, rest)))
+    assert reply.status == 200
+
+
 def test_reply_in_pieces_is_taken():
     reply, _ = exchange(OWN[:20], OWN[20:-1], OWN[-1:])
     assert reply.body == b'ok'
--- a/shallotgate/control/_operations.py
+++ b/shallotgate/control/_operations.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from shallotgate.codec import dump_builtins
+from shallotgate.codec import DECODE_ERRORS, dump_builtins
 from shallotgate.control._log import ReplicatedLog
 from shallotgate.control._sessions import SessionTable
 from shallotgate.errors import ShallotgateError
@@ -51,7 +51,7 @@
             raise OperationError(f'the leader does not serve {operation!r}')
         try:
             content = msgspec.json.decode(argument or b'null')
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise OperationError(f'invalid argument: {error}') from error
         return handler(content)
 
--- a/shallotgate/query/_merge.py
+++ b/shallotgate/query/_merge.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from shallotgate.codec import DECODE_ERRORS
 from shallotgate.errors import ShallotgateError
 
 _DECODER = msgspec.json.Decoder(list[dict[str, Any]])
@@ -24,7 +25,7 @@
     """
     try:
         matches = _DECODER.decode(encoded or b'[]')
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise InvalidMatchesError(f'invalid matches: {error}') from error
     if not all('id' in match for match in matches):
         raise InvalidMatchesError('match without an id')
--- a/shallotgate/query/tests/test_merge.py
+++ b/shallotgate/query/tests/test_merge.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
@@ -52,6 +53,13 @@
     assert all('id' in match for match in matches)
 
 
+def test_deeply_nested_matches_are_an_error():
+    """Guards against a query that ends with an internal error."""
+    nested = b'[{"id":"a","x":' + b'[' * 3000 + b']' * 3000 + b'}]'
+    with pytest.raises(InvalidMatchesError):
+        decode_matches(nested)
+
+
 SHARD = st.fixed_dictionaries(
     {
         'status': st.sampled_from(['ok', 'ok', 'ok', 'failed', 'timeout']),
--- a/shallotgate/targets/_http.py
+++ b/shallotgate/targets/_http.py
@@ -6,12 +6,13 @@
 import time
 from collections.abc import Sequence
 from http import client as http_client
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from shallotgate.codec import DECODE_ERRORS
 from shallotgate.errors import (
     TargetConnectError,
     TargetError,
@@ -34,6 +35,8 @@
 _MIN_TIMEOUT_S = 0.001
 _VERSION_CACHE_SIZE = 1024
 
+# Numbers that are sent on to other instances.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 _Status = Literal['ok', 'shed', 'draining', 'wrong_version', 'late', 'failed']
 
 
@@ -59,10 +62,16 @@
     start_id: str
     uptime_ms: float
     draining: bool
-    busy: int
+    busy: _Count
     versions: msgspec.Raw
 
 
+class _Version(msgspec.Struct, frozen=True):
+    index_version: _Count
+    partitions: _Count
+    held: tuple[_Count, ...]
+
+
 class _Reply(msgspec.Struct, frozen=True):
     attempt_id: str
     status: _Status
@@ -78,7 +87,7 @@
 _REPLY_DECODER = msgspec.json.Decoder(_Reply)
 _REPORT_DECODER = msgspec.json.Decoder(_Report)
 _MATCHES_DECODER = msgspec.json.Decoder(list[_Match])
-_VERSIONS_DECODER = msgspec.json.Decoder(tuple[TargetVersion, ...])
+_VERSIONS_DECODER = msgspec.json.Decoder(tuple[_Version, ...])
 
 
 class HttpTargetConnector:
@@ -200,11 +209,7 @@
 
     def read_report(self, timeout_s: float) -> TargetReport:
         """Request the status report of the target."""
-        content = self._exchange('GET', '/v1/status', b'', timeout_s)
-        try:
-            return _convert_report(_REPORT_DECODER.decode(content))
-        except msgspec.MsgspecError as error:
-            raise TargetProtocolError(f'invalid report: {error}') from error
+        return _read_report(self._exchange('GET', '/v1/status', b'', timeout_s))
 
     def close(self) -> None:
         """Close the connection; an exchange in progress fails."""
@@ -304,12 +309,19 @@
     return TargetProtocolError(f'invalid HTTP response: {error!r}')
 
 
+def _read_report(content: bytes) -> TargetReport:
+    try:
+        return _convert_report(_REPORT_DECODER.decode(content))
+    except DECODE_ERRORS as error:
+        raise TargetProtocolError(f'invalid report: {error}') from error
+
+
 def _read_reply(content: bytes, attempt: Attempt) -> TargetReply:
     try:
         reply = _REPLY_DECODER.decode(content)
         matches = _MATCHES_DECODER.decode(reply.matches)
         report = _convert_report(reply.target)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise TargetProtocolError(f'invalid reply: {error}') from error
     mismatch = _find_mismatch(reply, matches, attempt)
     if mismatch:
@@ -356,4 +368,7 @@
 @functools.lru_cache(maxsize=_VERSION_CACHE_SIZE)
 def _decode_versions(encoded: bytes) -> tuple[TargetVersion, ...]:
     """Decode a list of versions; cached because each reply repeats it."""
-    return _VERSIONS_DECODER.decode(encoded)
+    return tuple(
+        TargetVersion(**msgspec.structs.asdict(version))
+        for version in _VERSIONS_DECODER.decode(encoded)
+    )
--- a/shallotgate/targets/_platform.py
+++ b/shallotgate/targets/_platform.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from shallotgate.codec import DECODE_ERRORS
 from shallotgate.http_client import (
     ExchangeLimits,
     HttpClient,
@@ -25,14 +26,30 @@
 
 
 class _List(msgspec.Struct, frozen=True):
-    instances: Sequence[_Instance]
+    instances: Sequence[msgspec.Raw]
 
 
-_POLL_ERRORS = (HttpConnectError, HttpExchangeError, msgspec.MsgspecError)
+_POLL_ERRORS = (HttpConnectError, HttpExchangeError, *DECODE_ERRORS)
 _DECODER = msgspec.json.Decoder(_List)
+_INSTANCE_DECODER = msgspec.json.Decoder(_Instance)
 OnList = Callable[[frozenset[str], frozenset[str]], None]
 
 
+def _decode_list(body: bytes) -> Sequence[_Instance]:
+    """Return the entries that can be read; raises ``MsgspecError`` if none."""
+    instances: list[_Instance] = []
+    fault: Exception | None = None
+    for encoded in _DECODER.decode(body).instances:
+        try:
+            instances.append(_INSTANCE_DECODER.decode(encoded))
+        except DECODE_ERRORS as error:
+            fault = error
+            _LOGGER.debug('List entry left out: %s.', error)
+    if fault is not None and not instances:
+        raise fault
+    return instances
+
+
 class PlatformListPoller:
     """Polls the list; see ``docs/target-protocol.md`` for its format.
 
@@ -67,13 +84,13 @@
     def poll(self) -> bool:
         """Fetch the list once; returns whether it succeeded."""
         try:
-            instance_list = _DECODER.decode(self._fetch())
+            instances = _decode_list(self._fetch())
         except _POLL_ERRORS as error:
             self._log_failure(error)
             return False
         self._is_failing = False
         names: dict[str, set[str]] = {'live': set(), 'leaving': set()}
-        for instance in instance_list.instances:
+        for instance in instances:
             names[instance.state].add(instance.name)
         self._on_list(frozenset(names['live']), frozenset(names['leaving']))
         return True
--- a/shallotgate/targets/tests/test_http_connector.py
+++ b/shallotgate/targets/tests/test_http_connector.py
@@ -16,6 +16,7 @@
 from shallotgate.generated.catalogue import Target
 from shallotgate.http_client.tests.raw_server import ENDLESS, serve_bytes
 from shallotgate.targets import HttpTargetConnector
+from shallotgate.targets._http import _read_report
 from shallotgate.targets.tests.fakes import WAIT_S, Rig, wait_until
 from testkit.standin import StandinProcess, make_matches
 
@@ -309,3 +310,24 @@
     assert place in line
     assert 'refused' in line
     assert '_MinimalHTTPConnection' not in line
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        b'[' * 3000 + b']' * 3000,
+        b'[{"index_version": %d, "partitions": 1, "held": []}]' % (2**70),
+        b'[{"index_version": 1, "partitions": 1, "held": [%d]}]' % (2**70),
+    ],
+)
+def test_odd_report_is_an_invalid_reply(odd):
+    """Guards against a target whose numbers can't be sent to the entries.
+
+    Reports of all targets of an owner are sent together.
+    """
+    report = (
+        b'{"start_id": "s", "uptime_ms": 1, "draining": false, "busy": 0,'
+        b' "versions": %s}' % odd
+    )
+    with pytest.raises(TargetProtocolError):
+        _read_report(report)
--- a/shallotgate/targets/tests/test_server.py
+++ b/shallotgate/targets/tests/test_server.py
@@ -127,6 +127,7 @@
         assert not seen
         application.body = (
             b'{"instances": [{"name": "a", "state": "live", "zone": 1},'
+            b' {"name": 1}, {"name": "c", "state": "odd"}, 5,'
             b' {"name": "b", "state": "leaving"}]}'
         )
         platform.start()
