--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -141,7 +141,13 @@
         while not self._is_stopped:
             with self._changed:
                 self._changed.wait(_POLL_INTERVAL_S if self._pending else None)
-            if self._conditions.publish(time.monotonic()):
+            try:
+                is_urgent = self._conditions.publish(time.monotonic())
+            except Exception:
+                # Must not end the thread: entries need the tables.
+                _LOGGER.exception('Conditions cannot be published.')
+                is_urgent = False
+            if is_urgent:
                 self._notify_change()
             with self._changed:
                 due = self._list_due(time.monotonic())
--- a/shallotgate/registry/tests/test_followers.py
+++ b/shallotgate/registry/tests/test_followers.py
@@ -153,6 +153,21 @@
     assert mailbox.replies.empty()
 
 
+def test_entries_are_answered_despite_conditions_that_fail(
+    service, mailbox, monkeypatch
+):
+    """Guards against a leader that no longer answers any entry."""
+    sync_conditions(mailbox, 'entry')
+
+    def fail(now):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(service._conditions, 'publish', fail)
+    follow(mailbox, 'entry', table_version=-1)
+    follow(mailbox, 'entry-2')
+    assert mailbox.wait_reply()[1].status == 'current'
+
+
 def test_request_without_changes_is_answered_after_the_timeout(
     service, mailbox
 ):
