Stop using a target as soon as it states that it leaves

A target that leaves says so in its replies. Nothing read that: an entry used it on until the platform's list, which lags, and the leader told it so, and for ever if it was out of touch.

The first such reply takes the target out of use at that entry, whatever the list says. It comes back if it was listed as leaving or gone meanwhile, because it has started again under its id then.

--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -39,11 +39,13 @@
         target: Target,
         on_reply: Callable[[Target, float], None],
         get_idle_timeout_s: Callable[[Target], float | None],
+        on_statements: Callable[[Target, ReplyMetadata], None],
     ) -> None:
         """Start the attempt.
 
         ``get_idle_timeout_s`` returns how long its connection is kept idle
-        afterwards; None means no limit.
+        afterwards; None means no limit. ``on_statements`` takes what the target
+        states of itself in its reply.
         """
         self.target = target
         self.started_at = time.monotonic()
@@ -53,6 +55,7 @@
         self._call = call
         self._on_reply = on_reply
         self._get_idle_timeout_s = get_idle_timeout_s
+        self._on_statements = on_statements
         self._connection: TargetConnection | None = None
         self._is_aborted = False
         # Whether the connection took too long to wait for it.
@@ -162,7 +165,7 @@
     def _handle_reply(self, reply: Reply, duration_ms: float) -> None:
         metadata = self.read_metadata(reply)
         if not metadata.is_misdirected:
-            self.target.record_statements(metadata)
+            self._on_statements(self.target, metadata)
         if metadata.signature and reply.status < 300:
             self._on_reply(self.target, duration_ms)
         else:
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -40,6 +40,8 @@
     # Requests a second that it takes from all entries together; None if it
     # states no limit.
     limit_per_s: float | None = None
+    # Whether it has stated in a reply that it leaves.
+    is_leaving: bool = False
 
     def record_reply(self, duration_ms: float, median_ms: float) -> None:
         """Record the duration of a reply relative to the median."""
@@ -57,22 +59,21 @@
         self.health.record_connect_failure()
         self.reply_stats.add_failure(self.listed.target)
 
-    def record_statements(self, metadata: ReplyMetadata) -> None:
-        """Record what the target states of itself in a reply."""
-        if metadata.load is not None:
-            self.health.record_load(metadata.load)
+    def record_limit(self, metadata: ReplyMetadata) -> None:
+        """Record the limit stated in a reply, or that none is stated."""
         # A reply without a signature may come from something else in between.
         is_stated = metadata.signature or metadata.limit_per_s is not None
-        if is_stated and metadata.limit_per_s != self.limit_per_s:
-            self.limit_per_s = metadata.limit_per_s
-            self.reply_stats.add_limit(self.listed.target, self.limit_per_s)
-            _LOGGER.info(
-                'Target states another limit.',
-                extra={
-                    'target': self.listed.target,
-                    'limit_per_s': self.limit_per_s,
-                },
-            )
+        if not is_stated or metadata.limit_per_s == self.limit_per_s:
+            return
+        self.limit_per_s = metadata.limit_per_s
+        self.reply_stats.add_limit(self.listed.target, self.limit_per_s)
+        _LOGGER.info(
+            'Target states another limit.',
+            extra={
+                'target': self.listed.target,
+                'limit_per_s': self.limit_per_s,
+            },
+        )
 
 
 class Directory:
@@ -175,6 +176,20 @@
         self._rebuild_usable()
         self._share_conditions()
 
+    def record_statements(
+        self, target: Target, metadata: ReplyMetadata
+    ) -> None:
+        """Record what a target states of itself in a reply."""
+        if metadata.load is not None:
+            target.health.record_load(metadata.load)
+        target.record_limit(metadata)
+        if metadata.is_leaving and not target.is_leaving:
+            target.is_leaving = True
+            _LOGGER.info(
+                'Target states that it leaves.', extra=_describe(target.listed)
+            )
+            self._rebuild_usable()
+
     def remove_misdirected(self, target: Target) -> None:
         """Remove a target whose address now belongs to another one."""
         name = target.listed.target
@@ -199,7 +214,8 @@
         self._usable = {}
         for target in self._targets.values():
             listed = target.listed
-            if not listed.leaving and listed.domain not in self.domains_out:
+            is_leaving = listed.leaving or target.is_leaving
+            if not is_leaving and listed.domain not in self.domains_out:
                 self._usable.setdefault(listed.service, []).append(target)
 
     def _upsert(self, listed: ListedTarget) -> None:
@@ -220,6 +236,9 @@
             return
         if known.listed.leaving != listed.leaving:
             _LOGGER.info('Target changed.', extra=_describe(listed))
+        if known.listed.leaving and not listed.leaving:
+            # It has started again under its id.
+            known.is_leaving = False
         known.listed = listed
         known.cold_until = cold_until
 
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -263,6 +263,7 @@
             target,
             context.record_reply,
             context.get_idle_timeout_s,
+            context.directory.record_statements,
         )
         context.warm_up.record_sent(target, now)
         self._live[attempt.future] = attempt
--- a/shallotgate/gateway/_wire.py
+++ b/shallotgate/gateway/_wire.py
@@ -47,6 +47,8 @@
     # Requests a second that the target takes from all entries together; None
     # if it states no limit.
     limit_per_s: float | None = None
+    # Whether the target states that it leaves.
+    is_leaving: bool = False
 
 
 class WireCodec(Protocol):
--- a/testkit/gateway/_plain_wire.py
+++ b/testkit/gateway/_plain_wire.py
@@ -39,6 +39,7 @@
             reply.status == _MISDIRECTED,
             None,
             None if limit is None else float(limit),
+            is_leaving=b'leaving' in headers,
         )
 
     def make_merged_response(
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -229,9 +229,14 @@
         self.directory.update(
             ListingUpdate(source='x', revision=1, full=True, targets=listed),
         )
+        self.restore_pools()
+
+    def restore_pools(self) -> None:
+        """Connect targets that were listed anew to the simulated ones."""
         by_name = {target.name: target for target in self.list_all_targets()}
         for service in self.targets:
             for known in self.directory.list_usable(service):
-                known.pool = SimulatedPool(  # type: ignore[assignment]
-                    by_name[known.listed.target],
-                )
+                if not isinstance(known.pool, SimulatedPool):
+                    known.pool = SimulatedPool(  # type: ignore[assignment]
+                        by_name[known.listed.target],
+                    )
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -33,6 +33,11 @@
     # Requests a second that it takes from all entries, stated in each reply; 0
     # if it states none. It does not enforce the limit.
     limit_per_s: float = 0
+    # Whether it states in each reply that it leaves.
+    is_leaving: bool = False
+    # Seconds for which it wants no request of an entry, stated in rejections; 0
+    # if it states none.
+    pause_s: float = 0
     # Whether it drops the connection instead of replying.
     drops_connection: bool = False
     # Id of the request that crashes the target; empty for none.
@@ -81,6 +86,10 @@
         headers = [header]
         if self.limit_per_s:
             headers.append((b'limit', b'%f' % self.limit_per_s))
+        if self.is_leaving:
+            headers.append((b'leaving', b'1'))
+        if self.pause_s and status == _SHED_STATUS:
+            headers.append((b'pause', b'%f' % self.pause_s))
         return Reply(status, headers, body)
 
     def _crash(self) -> None:
