Pause a target for as long as it asks when it turns an entry away

A target that turns a request away with 503 may state for how long it wants nothing from that entry.

The entry sends it nothing for that time, at most an hour. Requests for which all targets pause are refused at once. The two simulated cases and the decoding of the header failed before.

--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -19,6 +19,8 @@
 
 _LOGGER = get_logger('directory')
 _MS_PER_S = 1000
+# Longest pause that a target may ask for, in seconds.
+_MAX_PAUSE_S = 3600.0
 # Lower bound for the median in slowness ratios, in milliseconds.
 _MIN_MEDIAN_MS = 0.1
 
@@ -42,6 +44,8 @@
     limit_per_s: float | None = None
     # Whether it has stated in a reply that it leaves.
     is_leaving: bool = False
+    # Monotonic time until which it wants no request of this entry.
+    paused_until: float = 0
 
     def record_reply(self, duration_ms: float, median_ms: float) -> None:
         """Record the duration of a reply relative to the median."""
@@ -183,6 +187,11 @@
         if metadata.load is not None:
             target.health.record_load(metadata.load)
         target.record_limit(metadata)
+        if metadata.pause_s is not None:
+            pause_s = min(metadata.pause_s, _MAX_PAUSE_S)
+            target.paused_until = max(
+                target.paused_until, time.monotonic() + pause_s
+            )
         if metadata.is_leaving and not target.is_leaving:
             target.is_leaving = True
             _LOGGER.info(
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -120,7 +120,8 @@
         return [
             target
             for target in self.directory.list_usable(service)
-            if self.has_room(target, pace.median_ms, now)
+            if now >= target.paused_until
+            and self.has_room(target, pace.median_ms, now)
             and self.warm_up.allows(target, now)
         ]
 
--- a/shallotgate/gateway/_send_permit.py
+++ b/shallotgate/gateway/_send_permit.py
@@ -99,6 +99,10 @@
         is_valid = time.monotonic() - self._granted_at < _VALID_S
         return target if is_valid else None
 
+    def restore(self, target: Target) -> None:
+        """Return the target of a permit that was taken and not used."""
+        self._target = target
+
     def _handle_result(
         self, choice: Sequence[Target], granted: Sequence[int]
     ) -> None:
--- a/shallotgate/gateway/_target_selection.py
+++ b/shallotgate/gateway/_target_selection.py
@@ -82,7 +82,7 @@
     def keep(self, target: Target) -> None:
         """Keep a target whose permit could not be used yet."""
         if target.limit_per_s is not None:
-            self._reserved = target
+            self.permit.restore(target)
 
     def record_sent(self, target: Target) -> None:
         """Exclude a target from further attempts."""
--- a/shallotgate/gateway/_wire.py
+++ b/shallotgate/gateway/_wire.py
@@ -49,6 +49,9 @@
     limit_per_s: float | None = None
     # Whether the target states that it leaves.
     is_leaving: bool = False
+    # Seconds for which the target wants no request of this entry; None if it
+    # has not turned the entry away, or states none.
+    pause_s: float | None = None
 
 
 class WireCodec(Protocol):
--- a/shallotgate/gateway/tests/test_target_statements.py
+++ b/shallotgate/gateway/tests/test_target_statements.py
@@ -1,4 +1,6 @@
-"""Targets that state in a reply that they leave."""
+"""Targets that state in a reply that they leave or want a pause."""
+
+import asyncio
 
 import pytest
 
@@ -88,3 +90,48 @@
     before, after = run_virtual(play())
     assert after[0] > before[0]
     assert after[1] == before[1]
+
+
+def test_rejected_entry_pauses_for_the_stated_time():
+    """Guards against requests at a target that wants none for a while."""
+
+    async def play():
+        entry = make_entry(1)
+        full = entry.targets['s0'][0]
+        # The others are so slow that it would be tried again and again.
+        for other in entry.targets['s0'][1:]:
+            other.service_time_s = 0.2
+        await entry.send_requests(30, 50)
+        full.is_not_run = True
+        full.pause_s = 4
+        await entry.send_requests(30, 50)
+        before = count_received([full])
+        await entry.send_requests(50, 50)
+        during = count_received([full])
+        full.is_not_run = False
+        await asyncio.sleep(4)
+        await entry.send_requests(60, 50)
+        return before, during, count_received([full])
+
+    before, during, after = run_virtual(play())
+    assert during == before
+    assert after[0] > during[0]
+
+
+def test_pause_of_all_targets_is_a_refusal_at_once():
+    """Guards against requests that wait for a pause to end."""
+
+    async def play():
+        entry = make_entry(1)
+        for target in entry.targets['s0']:
+            target.is_not_run = True
+            target.pause_s = 5
+        await entry.send_requests(10, 50)
+        before = count_received(entry.targets['s0'])
+        answers = await entry.send_requests(20, 50)
+        return before, count_received(entry.targets['s0']), answers
+
+    before, after, answers = run_virtual(play())
+    assert after == before
+    assert {one.status for one, _ in answers} == {503}
+    assert max(duration for _, duration in answers) < 10
--- a/testkit/gateway/_plain_wire.py
+++ b/testkit/gateway/_plain_wire.py
@@ -33,6 +33,7 @@
         """Decode the headers of a simulated reply."""
         headers = dict(reply.headers)
         limit = headers.get(b'limit')
+        pause = headers.get(b'pause')
         return ReplyMetadata(
             headers.get(b'signature', b''),
             b'not-run' in headers,
@@ -40,6 +41,7 @@
             None,
             None if limit is None else float(limit),
             is_leaving=b'leaving' in headers,
+            pause_s=None if pause is None else float(pause),
         )
 
     def make_merged_response(
