--- a/review/standins/links.py
+++ b/review/standins/links.py
@@ -1,7 +1,6 @@
-"""Links between control members that can be cut."""
+"""Links between nodes that can be cut or fall silent."""
 
 import asyncio
-import contextlib
 import re
 
 from standins.record import Record
@@ -11,11 +10,13 @@
 _CHUNK_BYTES = 65536
 
 
-class CoreLinks:
-    """Forwards what nodes send to control members.
+class Links:
+    """Forwards what nodes send to each other.
 
-    While a member is cut off from the other ones, bytes between them are held
-    back in both directions. All others, as entries, reach all members.
+    While a member of control is cut off from the other ones, bytes between them
+    are held back in both directions; all others, as entries, reach it. Open
+    connections that fall silent carry nothing any more and are not closed,
+    while new ones work.
     """
 
     def __init__(self, record: Record) -> None:
@@ -24,10 +25,15 @@
         self._members: set[str] = set()
         self._cut: set[str] = set()
         self._changed = asyncio.Condition()
+        # Connections opened before the last silence carry nothing.
+        self._generation = 0
 
-    async def add(self, host: str, port: int, target_port: int) -> None:
-        """Forward connections of a member's port to another of its ports."""
-        self._members.add(host)
+    async def add(
+        self, host: str, port: int, target_port: int, *, is_member: bool
+    ) -> None:
+        """Forward connections of a node's port to another of its ports."""
+        if is_member:
+            self._members.add(host)
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -46,6 +52,11 @@
             self._changed.notify_all()
         self._record.add('joined', host=host)
 
+    def silence(self) -> None:
+        """Let all connections that are open now fall silent for good."""
+        self._generation += 1
+        self._record.add('silence')
+
     async def _forward(
         self,
         reader: asyncio.StreamReader,
@@ -53,12 +64,13 @@
         host: str,
         port: int,
     ) -> None:
+        generation = self._generation
         try:
             inner, outer = await asyncio.open_connection(host, port)
         except OSError:
             writer.transport.abort()
             return
-        back = asyncio.ensure_future(_copy(inner, writer))
+        back = asyncio.ensure_future(self._copy(inner, writer, generation))
         sender = ''
         try:
             while chunk := await reader.read(_CHUNK_BYTES):
@@ -68,25 +80,37 @@
                     await self._changed.wait_for(
                         lambda: not self._is_cut(sender, host)
                     )
-                outer.write(chunk)
-                await outer.drain()
+                if generation == self._generation:
+                    outer.write(chunk)
+                    await outer.drain()
+        except OSError:
+            pass
+        await self._stay_silent(generation)
+        back.cancel()
+        outer.close()
+        writer.close()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        generation: int,
+    ) -> None:
+        try:
+            while chunk := await reader.read(_CHUNK_BYTES):
+                if generation == self._generation:
+                    writer.write(chunk)
+                    await writer.drain()
         except OSError:
             pass
-        finally:
-            back.cancel()
-            outer.close()
-            writer.close()
+        await self._stay_silent(generation)
+        writer.close()
+
+    async def _stay_silent(self, generation: int) -> None:
+        """Hide the end of a silent connection from the other side."""
+        if generation != self._generation:
+            await asyncio.Event().wait()
 
     def _is_cut(self, sender: str, receiver: str) -> bool:
         both = {sender, receiver}
         return both <= self._members and bool(both & self._cut)
-
-
-async def _copy(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    with contextlib.suppress(OSError):
-        while chunk := await reader.read(_CHUNK_BYTES):
-            writer.write(chunk)
-            await writer.drain()
-    writer.close()
--- a/review/standins/tier.py
+++ b/review/standins/tier.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from standins.links import CoreLinks
+from standins.links import Links
 from standins.platform import RATE_PER_S
 from standins.record import Record
 
@@ -104,7 +104,7 @@
         ports = _find_ports([each[1] for each in self.hosts.values()], 6)
         self._front, self._ready, self._control, *others = ports
         self._internal, self._behind_link = others[:2], others[2]
-        self.links: CoreLinks | None = None
+        self.links: Links | None = None
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     @property
@@ -135,8 +135,8 @@
         settings = self.folder / f'{name}.settings'
         template = (ROOT / self._roles[role]['template']).read_text()
         text = render(template, self._make_fields(name, host, zone, bootstrap))
-        if self.links is not None and role == 'control':
-            # The project's own setting for members behind a forwarder.
+        if self.links is not None:
+            # The project's own setting for nodes behind a forwarder.
             listen = {'listen_address': f'{host}:{self._behind_link}'}
             text = json.dumps({**json.loads(text), **listen})
         settings.write_text(text)
@@ -159,11 +159,15 @@
         self._record.add('started', node=name, zone=zone)
 
     async def add_links(self) -> None:
-        """Put links that can be cut before all control members."""
-        self.links = CoreLinks(self._record)
-        for name in self.controls:
-            host = self.hosts[name][1]
-            await self.links.add(host, self._internal[0], self._behind_link)
+        """Put links that can be cut or silenced before all nodes."""
+        self.links = Links(self._record)
+        for role, host, _ in self.hosts.values():
+            await self.links.add(
+                host,
+                self._internal[0],
+                self._behind_link,
+                is_member=role == 'control',
+            )
 
     def start_all(self) -> None:
         """Start all processes for the first time."""
