Let the operator read the configuration beside its orders (case 2)

The late order is probably cancelled before an idle thread has taken it; another call that waits at the same node, as the operator's reads do, makes it start.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,10 +24,20 @@
 FROZEN = 'control-2'
 FREEZE_S = 4.0
 GAP_S = 0.04
+# Pause between two reads of the operator.
+READ_GAP_S = 0.7
 # Time for which requests are looked at once the rule binds.
 LOOK_S = 6.0
 
 
+async def read_on(case: Case) -> None:
+    """Read the configuration from one node after the other."""
+    while True:
+        for name in case.tier.controls:
+            asyncio.ensure_future(case.operator.read_config(name))
+            await asyncio.sleep(READ_GAP_S)
+
+
 async def play(case: Case) -> int:
     """Evacuate a zone, withdraw that, and evacuate it again."""
     route = make_route('pull', '/pull/', Service=SERVICE)
@@ -37,6 +47,7 @@
         asyncio.ensure_future(case.clients.load(entry, '/pull/', GAP_S))
         for entry in tier.entries
     ]
+    loads.append(asyncio.ensure_future(read_on(case)))
     await asyncio.sleep(3)
     path = f'/-/evacuation/{EVACUATED}'
     await operator.order('POST', path, first=['control-0'])
