Keep silent connections open in the stand-in (case 3)

Nothing referred to the tasks of silent connections, so some were collected and their connections closed, which a node could see.

--- a/review/standins/links.py
+++ b/review/standins/links.py
@@ -27,6 +27,8 @@
         self._changed = asyncio.Condition()
         # Connections opened before the last silence carry nothing.
         self._generation = 0
+        # Never set; refers to what waits for it, which is not collected so.
+        self._end = asyncio.Event()
 
     async def add(
         self, host: str, port: int, target_port: int, *, is_member: bool
@@ -109,7 +111,7 @@
     async def _stay_silent(self, generation: int) -> None:
         """Hide the end of a silent connection from the other side."""
         if generation != self._generation:
-            await asyncio.Event().wait()
+            await self._end.wait()
 
     def _is_cut(self, sender: str, receiver: str) -> bool:
         both = {sender, receiver}
