--- a/shallotgate/aio/__init__.py
+++ b/shallotgate/aio/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 over asyncio: a server for callers and connections to targets."""
 
+from shallotgate.aio._callers import confirm_caller
 from shallotgate.aio._message import Headers, IncomingRequest, Response
 from shallotgate.aio._reply_limits import ReplyBuffer, ReplyLimits
 from shallotgate.aio._server import AsyncHttpServer, Handler, ServerLimits
@@ -16,4 +17,5 @@
     'Response',
     'ServerLimits',
     'TargetConnection',
+    'confirm_caller',
 )
--- a/shallotgate/aio/tests/test_server.py
+++ b/shallotgate/aio/tests/test_server.py
@@ -3,10 +3,16 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 import pytest
 
-from shallotgate.aio import AsyncHttpServer, Response, ServerLimits
+from shallotgate.aio import (
+    AsyncHttpServer,
+    Response,
+    ServerLimits,
+    confirm_caller,
+)
 
 LIMITS = ServerLimits(
     max_header_bytes=200,
@@ -214,3 +220,45 @@
 
     play(script)
     assert sum(sent) < 1024 * 1024
+
+
+@pytest.mark.parametrize('is_frozen', [False, True])
+def test_request_of_a_caller_that_left_is_not_confirmed(is_frozen):
+    """Guards against acting for a caller that left while the process stood.
+
+    Its request and its close wait in the socket, or the timer of the handler
+    is due before the close is read.
+    """
+    confirmed = []
+
+    async def handle(request):
+        if is_frozen:
+            asyncio.get_running_loop().call_soon(time.sleep, 0.2)
+        await confirm_caller()
+        confirmed.append(request.path)
+        return Response(200)
+
+    async def run():
+        port = find_port()
+        server = AsyncHttpServer(f'127.0.0.1:{port}', handle)
+        await server.start()
+        with socket.create_connection(('127.0.0.1', port)) as caller:
+            caller.sendall(b'GET /a HTTP/1.1\r\nHost: a\r\n\r\n')
+        await asyncio.sleep(0.5)
+        await server.stop()
+
+    asyncio.run(run())
+    assert not confirmed
+
+
+def test_request_of_a_caller_that_waits_is_confirmed():
+    async def handle(request):
+        await confirm_caller()
+        return Response(200)
+
+    async def script(reader, writer, server):
+        server.handler = handle
+        writer.write(b'GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n')
+        return await asyncio.wait_for(reader.read(), 3)
+
+    assert play(script)[0].startswith(b'HTTP/1.1 200')
--- a/shallotgate/registry/_client.py
+++ b/shallotgate/registry/_client.py
@@ -88,6 +88,13 @@
                         'no leader accepted the command'
                     ) from error
 
+    def get_domains_revision(self) -> int:
+        """Return the revision of the domains out of service known here.
+
+        The leader may have a newer one.
+        """
+        return self._state.read().domains_revision
+
     def read_table(self, timeout_s: float) -> CurrentTable:
         """Return the active table; raises ``ConsensusError`` if unconfirmed."""
         deadline = time.monotonic() + timeout_s
--- a/shallotgate/registry/_operators.py
+++ b/shallotgate/registry/_operators.py
@@ -1,10 +1,17 @@
 """Commands of operators."""
 
+import asyncio
+import time
 import zlib
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from shallotgate.errors import ConsensusError, Finding, FindingsError
-from shallotgate.generated.messages import PublishTable, SetDomainOut
+from shallotgate.generated.messages import (
+    DomainOutcome,
+    PublishTable,
+    SetDomainOut,
+)
 from shallotgate.logs import get_logger
 from shallotgate.registry._client import CurrentTable, RegistryClient
 from shallotgate.routes import TableCodec, check_table
@@ -29,7 +36,10 @@
 
 
 class OperatorService:
-    """Validates and commits commands; calls block, so use a thread."""
+    """Validates and commits commands.
+
+    Calls that are not coroutines block, so use a thread.
+    """
 
     def __init__(self, client: RegistryClient, codec: TableCodec) -> None:
         self._client = client
@@ -47,12 +57,58 @@
             version=table.version,
             document=zlib.compress(document),
         )
-        return self._commit(command, {'version': table.version})
+        result, _ = self._commit(
+            command, _COMMIT_TIMEOUT_S, {'version': table.version}
+        )
+        return result
+
+    async def set_domain(
+        self,
+        domain: str,
+        *,
+        is_out: bool,
+        confirm_caller: Callable[[], Awaitable[None]],
+    ) -> OrderResult:
+        """Take a failure domain out of service or back in.
 
-    def set_domain(self, domain: str, *, is_out: bool) -> OrderResult:
-        """Take a failure domain out of service or back in."""
-        command = SetDomainOut(domain=domain, out=is_out)
-        return self._commit(command, {'domain': domain, 'out': is_out})
+        The operator gives a call up that gets no answer and sends the order to
+        another member. If this one were applied as well, it could undo an order
+        that was accepted in between. So the caller has to be still there when
+        the revision is known on which the change is decided: of any later order
+        the leader has a newer revision, with which it drops this one.
+
+        ``confirm_caller`` raises ``CancelledError`` if the caller has left.
+        """
+        deadline = time.monotonic() + _COMMIT_TIMEOUT_S
+        revision = self._client.get_domains_revision()
+        while True:
+            try:
+                await confirm_caller()
+            except asyncio.CancelledError:
+                _LOGGER.warning(
+                    'Order of a domain dropped: its caller has left.',
+                    extra={'domain': domain, 'out': is_out},
+                )
+                raise
+            timeout_s = deadline - time.monotonic()
+            if timeout_s <= 0:
+                _LOGGER.warning(
+                    'Order of a domain not sent in time.',
+                    extra={'domain': domain, 'out': is_out},
+                )
+                return _UNKNOWN
+            command = SetDomainOut(
+                domain=domain, out=is_out, base_revision=revision
+            )
+            result, outcome = await asyncio.to_thread(
+                self._commit,
+                command,
+                timeout_s,
+                {'domain': domain, 'out': is_out, 'base_revision': revision},
+            )
+            if not isinstance(outcome, DomainOutcome) or outcome.accepted:
+                return result
+            revision = outcome.revision
 
     def read(self) -> CurrentTable | None:
         """Return the active table, or None if it cannot be confirmed."""
@@ -63,19 +119,23 @@
             return None
 
     def _commit(
-        self, command: object, log_fields: dict[str, object]
-    ) -> OrderResult:
+        self,
+        command: object,
+        timeout_s: float,
+        log_fields: dict[str, object],
+    ) -> tuple[OrderResult, object]:
+        """Return the result for the operator and the outcome of the command."""
         try:
-            outcome = self._client.commit(command, _COMMIT_TIMEOUT_S)
+            outcome = self._client.commit(command, timeout_s)
         except ConsensusError as error:
             _LOGGER.warning(
                 'Outcome of an operator command is unknown: %s.',
                 error,
                 extra=log_fields,
             )
-            return _UNKNOWN
+            return _UNKNOWN, None
         _LOGGER.info(
-            'Operator command accepted.',
+            'Operator command committed.',
             extra={**log_fields, 'outcome': str(outcome)},
         )
-        return _ACCEPTED
+        return _ACCEPTED, outcome
--- a/shallotgate/registry/_state.py
+++ b/shallotgate/registry/_state.py
@@ -7,6 +7,7 @@
 
 from shallotgate.codec import decode_tagged
 from shallotgate.generated.messages import (
+    DomainOutcome,
     PublishOutcome,
     PublishTable,
     SetDomainOut,
@@ -52,7 +53,7 @@
         if isinstance(decoded, PublishTable):
             return self._publish(decoded)
         if isinstance(decoded, SetDomainOut):
-            self._set_domain(index, decoded)
+            return self._set_domain(index, decoded)
         return None
 
     def snapshot(self) -> bytes:
@@ -80,7 +81,7 @@
         )
         return PublishOutcome(version=command.version, changed=True)
 
-    def _set_domain(self, index: int, command: SetDomainOut) -> None:
+    def _set_domain(self, index: int, command: SetDomainOut) -> DomainOutcome:
         registry = self.read()
         out = set(registry.domains_out)
         if command.out:
@@ -88,7 +89,22 @@
         else:
             out.discard(command.domain)
         if out == set(registry.domains_out):
-            return
+            return DomainOutcome(
+                revision=registry.domains_revision, accepted=True
+            )
+        if command.base_revision not in {-1, registry.domains_revision}:
+            _LOGGER.info(
+                'Change of a domain not applied: a newer revision exists.',
+                extra={
+                    'domain': command.domain,
+                    'out': command.out,
+                    'base_revision': command.base_revision,
+                    'revision': registry.domains_revision,
+                },
+            )
+            return DomainOutcome(
+                revision=registry.domains_revision, accepted=False
+            )
         self._replace(
             msgspec.structs.replace(
                 registry,
@@ -100,6 +116,7 @@
             'Domains out of service changed.',
             extra={'revision': index, 'out': sorted(out)},
         )
+        return DomainOutcome(revision=index, accepted=True)
 
     def _replace(self, registry: Registry) -> None:
         with self._lock:
--- a/shallotgate/registry/tests/test_state.py
+++ b/shallotgate/registry/tests/test_state.py
@@ -50,3 +50,25 @@
     state.apply(11, encode_tagged(SetDomainOut(domain='a', out=False)))
     assert state.read().domains_out == ()
     assert state.read().domains_revision == 11
+
+
+def test_change_decided_on_an_older_revision_is_dropped(state):
+    """Guards against an order that arrives after a later one was accepted."""
+    set_out(state, 9, is_out=True)
+    set_out(state, 10, is_out=False, base_revision=9)
+    set_out(state, 11, is_out=True, base_revision=10)
+    outcome = set_out(state, 12, is_out=False, base_revision=9)
+    assert (outcome.revision, outcome.accepted) == (11, False)
+    assert state.read().domains_out == ('a',)
+
+
+def test_change_that_is_in_force_is_accepted_on_any_revision(state):
+    """Guards against refusing an order that is sent again."""
+    set_out(state, 9, is_out=True)
+    outcome = set_out(state, 10, is_out=True, base_revision=3)
+    assert (outcome.revision, outcome.accepted) == (9, True)
+
+
+def set_out(state, index, is_out, base_revision=-1):
+    command = SetDomainOut(domain='a', out=is_out, base_revision=base_revision)
+    return state.apply(index, encode_tagged(command))
