--- a/shallotgate/transport/_acknowledgements.py
+++ b/shallotgate/transport/_acknowledgements.py
@@ -25,6 +25,13 @@
         self._acknowledged = float('-inf')
         # Time of the last progress.
         self._restarted_at = float('-inf')
+        # Send time of the newest message that the present connection carried.
+        self._proven_at = float('-inf')
+
+    @property
+    def proven_at(self) -> float:
+        """Time at which the connection last worked; a new one is taken to."""
+        return self._proven_at
 
     def record_sent(self, sent_at: float, now: float) -> None:
         """Record that a message was passed to the connection."""
@@ -40,10 +47,12 @@
         if self._acknowledged < sent_at <= now:
             self._acknowledged = sent_at
             self._restarted_at = now
+            self._proven_at = max(self._proven_at, sent_at)
 
-    def record_replaced(self) -> None:
+    def record_replaced(self, now: float) -> None:
         """Record a new connection; nothing was sent on it yet."""
         self._acknowledged = max(self._acknowledged, self._sent_at)
+        self._proven_at = now
 
     def get_waiting_s(self, now: float) -> float:
         """Return how long the peer has acknowledged nothing of what was sent.
--- a/shallotgate/transport/_envelope.py
+++ b/shallotgate/transport/_envelope.py
@@ -44,6 +44,8 @@
     # received, on the clock of the recipient; minus infinity if none. None
     # from a build that does not state it.
     acknowledged: float | None = None
+    # Times that the sender has missed a reaction of the recipient.
+    losses: int = 0
 
 
 @dataclass(frozen=True)
@@ -66,6 +68,7 @@
     call_id: str = '',
     is_reply: bool = False,
     acknowledged: float | None = None,
+    losses: int = 0,
 ) -> EncodedMessage:
     """Encode a message with the current time as its send time."""
     sent_at = time.monotonic()
@@ -79,6 +82,7 @@
             type(message).__name__,
             message,
             acknowledged,
+            losses,
         )
     )
     return EncodedMessage(sent_at, content)
--- a/shallotgate/transport/_mailbox.py
+++ b/shallotgate/transport/_mailbox.py
@@ -20,6 +20,7 @@
 )
 from shallotgate.transport._receipts import Receipts
 from shallotgate.transport._sender import PeerSender
+from shallotgate.transport._silence import SilenceWatch
 
 _LOGGER = get_logger('transport')
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -52,6 +53,7 @@
         self._handlers: dict[str, Handler] = {}
         self._pending: dict[str, queue.SimpleQueue[Delivery]] = {}
         self._receipts = Receipts()
+        self._silence = SilenceWatch()
         self._call_numbers = itertools.count(1)
         self._lock = threading.Lock()
         self._socket = pynng.Pull0(
@@ -115,6 +117,7 @@
             self._send_encoded(peer, self._encode(peer, message, call_id))
             return replies.get(timeout=max(timeout_s, 0)).message
         except queue.Empty as error:
+            self._silence.record_loss(peer)
             name = type(message).__name__
             raise CallTimeoutError(
                 f'no reply to {name} from {peer} within {timeout_s:.3f} s',
@@ -150,6 +153,7 @@
             call_id,
             is_reply,
             self._receipts.get_newest_sent_at(peer),
+            self._silence.count_losses(peer),
         )
 
     def _send_encoded(self, peer: str, encoded: EncodedMessage) -> None:
@@ -166,7 +170,9 @@
             address = self._find_address(peer)
             if address is None:
                 raise PeerUnreachableError(f'no address known for peer {peer}')
-            sender = PeerSender(peer, address, self.last_received_at)
+            sender = PeerSender(
+                peer, address, self.last_received_at, self._silence
+            )
             self._senders[peer] = sender
             return sender
 
@@ -210,10 +216,14 @@
         handler(delivery)
 
     def _make_delivery(self, envelope: Envelope, message: object) -> Delivery:
-        age_s = self._receipts.record(envelope, time.monotonic())
+        now = time.monotonic()
+        tells_of_loss = self._receipts.tells_of_loss(envelope)
+        age_s = self._receipts.record(envelope, now)
         sender = self._senders.get(envelope.sender)
         if sender is not None:
             sender.record_acknowledged(envelope.acknowledged)
+            if tells_of_loss:
+                sender.record_loss(now)
         return Delivery(
             sender=envelope.sender,
             start_id=envelope.start_id,
--- a/shallotgate/transport/_receipts.py
+++ b/shallotgate/transport/_receipts.py
@@ -12,6 +12,8 @@
     newest_sent_at: float
     # Monotonic time at which it was last heard.
     received_at: float
+    # Losses that it has told of.
+    losses: int = 0
     estimator: AgeEstimator = field(default_factory=AgeEstimator)
 
 
@@ -32,12 +34,24 @@
         """
         peer = self._peers.get(envelope.sender)
         if peer is None or peer.start_id != envelope.start_id:
-            peer = _PeerReceipts(envelope.start_id, envelope.sent_at, now)
+            peer = _PeerReceipts(
+                envelope.start_id, envelope.sent_at, now, envelope.losses
+            )
             self._peers[envelope.sender] = peer
         peer.received_at = now
+        peer.losses = max(peer.losses, envelope.losses)
         peer.newest_sent_at = max(peer.newest_sent_at, envelope.sent_at)
         return peer.estimator.estimate(envelope.sent_at, now)
 
+    def tells_of_loss(self, envelope: Envelope) -> bool:
+        """Return whether a message that is not recorded yet tells of a loss."""
+        peer = self._peers.get(envelope.sender)
+        return (
+            peer is not None
+            and peer.start_id == envelope.start_id
+            and peer.losses < envelope.losses
+        )
+
     def get_received_at(self, name: str) -> float:
         """Return the monotonic time of the last message from a peer."""
         peer = self._peers.get(name)
--- a/shallotgate/transport/_sender.py
+++ b/shallotgate/transport/_sender.py
@@ -11,6 +11,7 @@
 from shallotgate.logs import get_logger
 from shallotgate.transport._acknowledgements import AcknowledgementTimer
 from shallotgate.transport._envelope import EncodedMessage
+from shallotgate.transport._silence import SilenceWatch, get_doubt_time
 
 _LOGGER = get_logger('transport')
 # Maximum number of messages queued for one peer; sending then fails.
@@ -19,6 +20,7 @@
 _SOCKET_BUFFER_MESSAGES = 128
 _SEND_TIMEOUT_MS = 500
 _CHECK_INTERVAL_S = 0.5
+_MIN_CHECK_DELAY_S = 0.01
 # Delay between connection attempts, doubled up to the maximum. It is short
 # because dialling is cheap and a starting peer should be reached soon.
 _RECONNECT_MIN_MS = 50
@@ -45,10 +47,15 @@
         peer: str,
         address: str,
         last_received_at: Callable[[str], float],
+        silence: SilenceWatch,
     ) -> None:
         self.peer = peer
         self.address = address
         self._last_received_at = last_received_at
+        self._silence = silence
+        # A connection that has carried nothing since this monotonic time is
+        # replaced before it is used, as the peer has missed something.
+        self._doubted_before = float('-inf')
         self._queue: queue.Queue[EncodedMessage | None] = queue.Queue(
             _MAX_QUEUED_MESSAGES
         )
@@ -72,8 +79,11 @@
         Raises ``PeerUnreachableError`` if the queue is full.
         """
         with self._lock:
-            if not self._backlog and self._try_send(encoded):
-                return
+            if not self._backlog:
+                if self._is_in_doubt():
+                    self._replace_connection('it may be silent')
+                if self._try_send(encoded):
+                    return
             try:
                 self._queue.put_nowait(encoded)
             except queue.Full as error:
@@ -92,6 +102,10 @@
             now if sent_at is None else sent_at, now
         )
 
+    def record_loss(self, now: float) -> None:
+        """Record that the peer waited for this process in vain."""
+        self._doubted_before = get_doubt_time(now)
+
     def stop(self) -> None:
         """Send the queued messages and close the connection."""
         self._is_stopping = True
@@ -112,7 +126,7 @@
     def _run(self) -> None:
         while not self._is_stopping or self._backlog:
             try:
-                encoded = self._queue.get(timeout=_CHECK_INTERVAL_S)
+                encoded = self._queue.get(timeout=self._get_check_delay_s())
             except queue.Empty:
                 self._redial_if_silent()
                 continue
@@ -134,12 +148,31 @@
         with self._lock:
             self._backlog -= 1
 
-    def _redial_if_silent(self) -> None:
+    def _get_check_delay_s(self) -> float:
+        """Return the seconds until the connection is looked at again."""
         waiting_s = self._timer.get_waiting_s(time.monotonic())
-        if waiting_s > _SILENCE_TIMEOUT_S:
+        remaining_s = _SILENCE_TIMEOUT_S - waiting_s
+        return min(max(remaining_s, _MIN_CHECK_DELAY_S), _CHECK_INTERVAL_S)
+
+    def _redial_if_silent(self) -> None:
+        now = time.monotonic()
+        waiting_s = self._timer.get_waiting_s(now)
+        if waiting_s >= _SILENCE_TIMEOUT_S:
+            self._silence.record_silence(self.peer, now)
             self._redial(f'nothing acknowledged for {waiting_s:.1f} s')
 
+    def _is_in_doubt(self) -> bool:
+        proven_at = self._timer.proven_at
+        return proven_at < self._doubted_before or self._silence.is_in_doubt(
+            proven_at
+        )
+
     def _redial(self, reason: str) -> None:
+        with self._lock:
+            self._replace_connection(reason)
+
+    def _replace_connection(self, reason: str) -> None:
+        """Open another connection; requires the lock."""
         now = time.monotonic()
         _LOGGER.info(
             'Connection replaced: %s.',
@@ -152,13 +185,12 @@
                 ),
             },
         )
-        with self._lock:
-            self._socket.close()
-            self._socket = self._dial()
-            self._timer.record_replaced()
+        self._socket.close()
+        self._socket = self._dial()
 
     def _dial(self) -> pynng.Push0:
         self._dialled_at = time.monotonic()
+        self._timer.record_replaced(self._dialled_at)
         socket = pynng.Push0(
             send_timeout=_SEND_TIMEOUT_MS,
             send_buffer_size=_SOCKET_BUFFER_MESSAGES,
--- a/shallotgate/transport/tests/test_acknowledgements.py
+++ b/shallotgate/transport/tests/test_acknowledgements.py
@@ -49,7 +49,7 @@
 
 def test_new_connection_starts_without_open_messages(timer):
     """Guards against replacing the new connection for the old one's losses."""
-    timer.record_replaced()
+    timer.record_replaced(now=11)
     assert timer.get_waiting_s(20) == 0
 
 
