--- a/shallotgate/consensus/_leader.py
+++ b/shallotgate/consensus/_leader.py
@@ -107,13 +107,19 @@
 
     def holds_lease(self) -> bool:
         """Return whether this member leads with a valid lease."""
+        return self.get_leading_term() is not None
+
+    def get_leading_term(self) -> int | None:
+        """Return the term in which this member leads with a valid lease."""
         with self._state.changed:
             leadership = self._state.leadership
-            return (
+            if (
                 leadership is not None
                 and leadership.is_ready
                 and leadership.holds_lease(self._state.journal.group)
-            )
+            ):
+                return leadership.term
+            return None
 
     def read_barrier(self, timeout_s: float) -> int:
         """Wait until all records committed before the call are applied.
--- a/shallotgate/consensus/_replicated_log.py
+++ b/shallotgate/consensus/_replicated_log.py
@@ -125,7 +125,7 @@
             self._applier.stop()
             state.notifier.stop()
         if leadership is not None:
-            self._join_replicators(leadership)
+            _join_replicators(leadership)
         self._folder.close()
 
     def propose(self, command: bytes, timeout_s: float) -> object:
@@ -149,6 +149,13 @@
         """Return whether this member leads with a valid lease."""
         return self._leader.holds_lease()
 
+    def get_leading_term(self) -> int | None:
+        """Return the term in which this member leads; None if it does not.
+
+        In the same term no other member has led in between.
+        """
+        return self._leader.get_leading_term()
+
     def transfer_leadership(
         self, timeout_s: float = _TRANSFER_TIMEOUT_S
     ) -> bool:
@@ -198,6 +205,7 @@
         self._elector.tick()
         self._bootstrapper.tick()
 
-    def _join_replicators(self, leadership: Leadership) -> None:
-        for thread in leadership.threads:
-            thread.join(_THREAD_JOIN_TIMEOUT_S)
+
+def _join_replicators(leadership: Leadership) -> None:
+    for thread in leadership.threads:
+        thread.join(_THREAD_JOIN_TIMEOUT_S)
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -103,7 +103,7 @@
                 settings.drain_ms / _MS_PER_S / _POLLS_PER_DRAIN,
                 1 / (settings.listing_calls_per_s * _MAX_CALL_SHARE),
             ),
-            is_leading=self._log.is_leading,
+            get_leading_term=self._log.get_leading_term,
         )
         self._limits = LimitBoard(secrets.randbits(_REVISION_BITS))
         self._client = RegistryClient(self._mailbox, self._log, state)
--- a/shallotgate/registry/_conditions.py
+++ b/shallotgate/registry/_conditions.py
@@ -124,6 +124,21 @@
         self._urgent_revision = first_revision
         self.revision = first_revision
 
+    def reset(self) -> None:
+        """Forget everything, for a new leadership.
+
+        Another leader may have told the entries of newer conditions.
+        """
+        with self._lock:
+            self._stats.clear()
+            self._current.clear()
+            self._probed.clear()
+            self._published = {}
+            self._history.clear()
+            self.revision += 1
+            self._first_revision = self.revision
+            self._urgent_revision = self.revision
+
     def record_replies(self, observed: ObservedReplies, now: float) -> None:
         """Add the replies observed by an entry."""
         with self._lock:
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -17,6 +17,7 @@
 from shallotgate.registry._conditions import ConditionTracker
 from shallotgate.registry._entry_counter import EntryCounter
 from shallotgate.registry._listing import ListingPoller
+from shallotgate.registry._served_term import ServedTerm
 from shallotgate.registry._state import RegistryState
 from shallotgate.registry._table_differences import TableDifferences
 from shallotgate.registry._update_sender import UpdateSender
@@ -75,6 +76,9 @@
         # Counts changes that may concern a follower.
         self._changes = 0
         self._conditions = ConditionTracker(random.getrandbits(_REVISION_BITS))
+        self._served_term = ServedTerm(
+            log, (self._conditions.reset, limits.reset)
+        )
         self._is_stopped = False
         self._thread = threading.Thread(
             target=self._run,
@@ -141,6 +145,7 @@
         while not self._is_stopped:
             with self._changed:
                 self._changed.wait(_POLL_INTERVAL_S if self._pending else None)
+            self._served_term.renew()
             try:
                 is_urgent = self._conditions.publish(time.monotonic())
             except Exception:
@@ -160,7 +165,7 @@
 
     def _list_due(self, now: float) -> list[_PendingRequest]:
         """Return the requests that may be answered now."""
-        if not self._log.is_leading():
+        if not self._served_term.is_current():
             return list(self._pending.values())
         due = [
             pending
@@ -173,7 +178,7 @@
         return due
 
     def _try_reply(self, pending: _PendingRequest) -> None:
-        if not self._log.is_leading():
+        if not self._served_term.is_current():
             self._redirect(pending)
             return
         message = pending.delivery.message
--- a/shallotgate/registry/_listing.py
+++ b/shallotgate/registry/_listing.py
@@ -32,21 +32,30 @@
 
 
 class ListingPoller:
-    """Polls the list while this member leads, and tracks its changes."""
+    """Polls the list while this member leads, and tracks its changes.
+
+    What was read in a former leadership is not served: another leader may have
+    told the entries of a newer list in between.
+    """
 
     def __init__(
         self,
         listing: TargetListing,
         source: str,
         period_s: float,
-        is_leading: Callable[[], bool],
+        get_leading_term: Callable[[], int | None],
     ) -> None:
-        """``source`` identifies this process start in revisions."""
+        """``source`` identifies this process start in revisions.
+
+        ``get_leading_term`` returns None if this member does not lead.
+        """
         self._listing = listing
         self._source = source
         self._period_s = period_s
-        self._is_leading = is_leading
+        self._get_leading_term = get_leading_term
         self._lock = threading.Lock()
+        # Term in which the targets were read.
+        self._term: int | None = None
         self._targets: Mapping[str, ListedTarget] = {}
         self._revision = 0
         self._changes: list[_Change] = []
@@ -76,8 +85,9 @@
 
     def make_update(self, source: str, revision: int) -> ListingUpdate | None:
         """Return the missing changes; None if there are none or no list yet."""
+        term = self._get_leading_term()
         with self._lock:
-            if not self._revision:
+            if term is None or term != self._term:
                 return None
             if source == self._source:
                 if revision == self._revision:
@@ -87,15 +97,16 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            if not self._is_leading():
+            term = self._get_leading_term()
+            if term is None:
                 self._stopped.wait(_LEADERSHIP_POLL_S)
                 continue
             started_at = time.monotonic()
-            self._read()
+            self._read(term)
             remaining_s = started_at + self._period_s - time.monotonic()
             self._stopped.wait(max(remaining_s, 0))
 
-    def _read(self) -> None:
+    def _read(self, term: int) -> None:
         try:
             targets = self._listing.read()
         except Exception as error:
@@ -113,11 +124,19 @@
         self._is_failing = False
         self.last_read_at = time.monotonic()
         self._replace_targets(
-            {listed.target: listed for listed in self._filter.select(targets)}
+            term,
+            {listed.target: listed for listed in self._filter.select(targets)},
         )
 
-    def _replace_targets(self, targets: Mapping[str, ListedTarget]) -> None:
+    def _replace_targets(
+        self, term: int, targets: Mapping[str, ListedTarget]
+    ) -> None:
+        if self._get_leading_term() != term:
+            _LOGGER.info('List not used: the leader changed meanwhile.')
+            return
         with self._lock:
+            if self._term != term:
+                self._forget(term)
             previous = self._targets
             changed = [
                 listed
@@ -126,7 +145,7 @@
             ]
             gone = [name for name in previous if name not in targets]
             self._targets = targets
-            if self._revision and not changed and not gone:
+            if self._changes and not changed and not gone:
                 return
             self._revision += 1
             self._changes.append(_Change(self._revision, changed, gone))
@@ -143,6 +162,14 @@
         for callback in self._callbacks:
             callback()
 
+    def _forget(self, term: int) -> None:
+        """Start anew in a term; requires the lock."""
+        self._term = term
+        self._targets = {}
+        self._changes.clear()
+        # No difference leads over this revision, so all get the full list.
+        self._revision += 1
+
     def _make_full(self) -> ListingUpdate:
         return ListingUpdate(
             source=self._source,
--- a/shallotgate/registry/tests/test_conditions.py
+++ b/shallotgate/registry/tests/test_conditions.py
@@ -196,3 +196,15 @@
     directory.apply_conditions(late)
     assert list_shared(directory) == held
     assert directory.conditions_revision == 10
+
+
+def test_conditions_of_a_former_leadership_are_forgotten():
+    """Guards against judging targets by what another leader has refuted."""
+    tracker = ConditionTracker(100)
+    observe(tracker, 't1', 10, 50)
+    assert 't1' in read(tracker)
+    known = tracker.revision
+    tracker.reset()
+    update = tracker.make_update(known, merges=True)
+    assert (update.base_revision, update.targets) == (-1, [])
+    assert tracker.is_urgent(known)
--- a/shallotgate/registry/tests/test_followers.py
+++ b/shallotgate/registry/tests/test_followers.py
@@ -54,9 +54,10 @@
 
     def __init__(self):
         self.leads = True
+        self.term = 1
 
-    def is_leading(self):
-        return self.leads
+    def get_leading_term(self):
+        return self.term if self.leads else None
 
     def on_leadership(self, callback):
         """Ignore the callback."""
@@ -195,6 +196,35 @@
     assert update.conditions.targets == ['t1']
 
 
+def test_new_leadership_begins_without_what_was_recorded(service, mailbox, log):
+    """Guards against limits and conditions that another leader has replaced."""
+    follow(mailbox, 'entry')
+    mailbox.wait_reply()
+    observed = ObservedReplies(
+        targets=['t1'],
+        replies=[5],
+        slowness=[20],
+        failures=[0],
+        limited=['t2'],
+        limits=[50],
+    )
+    mailbox.deliver('entry', observed)
+    follow(mailbox, 'entry')
+    update = mailbox.wait_reply()[1]
+    assert update.conditions.targets == ['t1']
+    assert update.limits.targets == ['t2']
+    log.term = 3
+    follow(
+        mailbox,
+        'entry',
+        conditions_revision=update.conditions.revision,
+        limits_revision=update.limits.revision,
+    )
+    update = mailbox.wait_reply()[1]
+    assert update.conditions.targets == []
+    assert update.limits is None
+
+
 def test_member_that_does_not_lead_names_the_leader(service, mailbox, log):
     log.leads = False
     follow(mailbox, 'entry')
--- a/shallotgate/registry/tests/test_listing.py
+++ b/shallotgate/registry/tests/test_listing.py
@@ -9,7 +9,13 @@
 
 
 class Listing:
-    """Editable fake of the list."""
+    """Editable fake of the list.
+
+    ``on_read`` is called after the targets were read and before they are
+    returned.
+    """
+
+    on_read = staticmethod(lambda: None)
 
     def __init__(self):
         self.targets = {}
@@ -32,7 +38,9 @@
         self.reads += 1
         if self.error is not None:
             raise self.error
-        return list(self.targets.values())
+        targets = list(self.targets.values())
+        self.on_read()
+        return targets
 
 
 @pytest.fixture
@@ -45,9 +53,9 @@
 
 @pytest.fixture
 def reader(listing):
-    is_leading = [True]
-    reader = ListingPoller(listing, 'me', 0.01, lambda: is_leading[0])
-    reader.is_leading = is_leading
+    term = [1]
+    reader = ListingPoller(listing, 'me', 0.01, lambda: term[0])
+    reader.term = term
     reader.start()
     wait(lambda: reader.make_update('', -1))
     yield reader
@@ -118,9 +126,57 @@
     wait(lambda: len(reader.make_update('', -1).targets) == 3)
 
 
+def test_list_of_a_former_leadership_is_not_served(reader, listing):
+    """Guards against a target that gets requests again although it leaves.
+
+    Another leader told the entries so before this member led again, and the
+    platform is slow to tell its list.
+    """
+    reader.term[0] = None
+    listing.put('t1', leaving=True)
+    listing.error = ShallotgateError('no answer')
+    reads = listing.reads
+    reader.term[0] = 3
+    assert reader.make_update('other leader', 7) is None
+    wait(lambda: listing.reads > reads + 1)
+    assert reader.make_update('other leader', 7) is None
+    listing.error = None
+    wait(lambda: reader.make_update('other leader', 7))
+    targets = reader.make_update('other leader', 7).targets
+    assert {each.target for each in targets if each.leaving} == {'t1'}
+
+
+def test_read_that_began_before_the_leadership_is_not_served(reader, listing):
+    """Guards against a slow answer that is older than another leader's list."""
+
+    def lead_again():
+        listing.put('t1', leaving=True)
+        reader.term[0] = 3
+        listing.on_read = lambda: None
+        listing.error = ShallotgateError('no answer')
+
+    listing.on_read = lead_again
+    wait(lambda: reader.term[0] == 3)
+    reads = listing.reads
+    wait(lambda: listing.reads > reads + 1)
+    assert reader.make_update('other leader', 7) is None
+
+
+def test_first_list_of_a_leadership_is_sent_whole(reader, listing):
+    """Guards against a difference without targets that are gone since."""
+    directory = Directory()
+    follow(directory, reader)
+    reader.term[0] = None
+    del listing.targets['t2']
+    reader.term[0] = 3
+    wait(lambda: follow(directory, reader))
+    names = [each.listed.target for each in directory.list_usable('s')]
+    assert names == ['t1']
+
+
 def test_only_the_leader_reads(reader, listing):
     """Guards against every member polling the platform."""
-    reader.is_leading[0] = False
+    reader.term[0] = None
     time.sleep(0.1)
     reads = listing.reads
     time.sleep(0.1)
--- a/shallotgate/target_limits/_board.py
+++ b/shallotgate/target_limits/_board.py
@@ -61,6 +61,16 @@
         self._stated: dict[str, _StatedLimit] = {}
         self._revision = first_revision
 
+    def reset(self) -> None:
+        """Forget everything, for a new leadership.
+
+        Another leader may have told the entries of newer limits. Entries state
+        the limits that they keep to when they ask for permits.
+        """
+        with self._lock:
+            self._stated.clear()
+            self._revision += 1
+
     def record_replies(self, observed: ObservedReplies, now: float) -> None:
         """Record changed limits and count the replies of limited targets."""
         with self._lock:
