Count the heads of replies into the bound of all connections

Each reply may have a head of 64 KiB, and only bodies counted into the bound that all connections share. Targets that send heads without end, slowly and at the same time, could take that much for each of an entry's 4,100 descriptors, 256 MiB; many short headers take even more than their bytes.

The exact figure in test_replies_of_all_connections_share_one_bound grew by the head that counts now.

--- a/shallotgate/aio/_reply_limits.py
+++ b/shallotgate/aio/_reply_limits.py
@@ -7,6 +7,8 @@
 
 _BYTES_PER_MIB = 1024 * 1024
 _DEFAULT_BUFFER_BYTES = 32 * _BYTES_PER_MIB
+# Memory that a header takes besides its text.
+_HEADER_OVERHEAD_BYTES = 200
 
 
 class ReplyBuffer:
@@ -52,6 +54,9 @@
         self._limits = limits
         # Received bytes that belong to no body.
         self._head_bytes = 0
+        # Part of the buffer that is reserved for heads.
+        self._reserved_head_bytes = 0
+        self._is_finished = False
         # Body bytes of all replies, and of the current one.
         self._all_body_bytes = 0
         self._body_bytes = 0
@@ -67,12 +72,16 @@
 
         Called after parsing, when body bytes have been counted as such.
         """
+        if self._is_finished:
+            return
         limit = self._limits.max_head_bytes
         allowed = limit + self._all_body_bytes * MAX_FRAMING_RATIO
         if self._head_bytes > allowed:
             raise ReplyLimitError(
                 f'headers and framing exceed {limit} bytes',
             )
+        overhead = self._headers * _HEADER_OVERHEAD_BYTES
+        self._reserve_head(self._head_bytes + overhead)
 
     def check_length(self, stated: bytes) -> None:
         """Raise ``ReplyLimitError`` if the stated length is too large."""
@@ -114,3 +123,16 @@
         self._limits.buffer.release(self._body_bytes)
         self._body_bytes = 0
         self._headers = 0
+
+    def finish(self) -> None:
+        """Release everything; no reply follows."""
+        self.discard_reply()
+        self._limits.buffer.release(self._reserved_head_bytes)
+        self._reserved_head_bytes = 0
+        self._is_finished = True
+
+    def _reserve_head(self, amount: int) -> None:
+        missing = amount - self._reserved_head_bytes
+        if missing > 0:
+            self._limits.buffer.reserve(missing)
+            self._reserved_head_bytes = amount
--- a/shallotgate/aio/_target_connection.py
+++ b/shallotgate/aio/_target_connection.py
@@ -202,6 +202,7 @@
             waiter.set_result(
                 Reply(status, self._headers, bytes(self._body)),
             )
+        self._meter.finish()
         self._discard_reply()
         if self._expects_close or not self.is_usable:
             self.close()
@@ -224,6 +225,7 @@
     def _fail(self, error: Exception) -> None:
         waiter = self._waiter
         self._waiter = None
+        self._meter.finish()
         self._discard_reply()
         if waiter is not None and not waiter.done():
             waiter.set_exception(error)
--- a/shallotgate/aio/tests/test_endless_replies.py
+++ b/shallotgate/aio/tests/test_endless_replies.py
@@ -43,6 +43,8 @@
 # both sockets and one read of the event loop.
 MAX_TAKEN_BYTES = 8 * 1024 * 1024
 REPEATS_PER_WRITE = 50
+# Counted for each header besides its text.
+HEADER_BYTES = 200
 
 
 class EndlessTarget(asyncio.Protocol):
@@ -146,7 +148,63 @@
             )
             (failed,) = done
             assert isinstance(failed.exception(), ReplyLimitError)
-            assert BUFFER.used_bytes == 29000
+            assert BUFFER.used_bytes == 29000 + len(start) + HEADER_BYTES
+
+    asyncio.run(play())
+    assert BUFFER.used_bytes == 0
+
+
+# Replies that stop in the middle of their head.
+PARTIAL_HEADS = {
+    'one header': STATUS + b'Name: ' + b'v' * 14_000,
+    # Each takes far more memory than its bytes.
+    'many headers': STATUS + b'a:b\r\n' * 200,
+}
+
+
+@pytest.mark.parametrize('kind', PARTIAL_HEADS)
+def test_heads_of_all_connections_share_one_bound(kind):
+    """Guards against heads without end that exhaust the memory together.
+
+    Each stays below its own limit, and many targets send one slowly.
+    """
+
+    class Target(asyncio.Protocol):
+        def connection_made(self, transport):
+            self.transport = transport
+
+        def data_received(self, data):
+            self.transport.write(PARTIAL_HEADS[kind])
+
+    async def play():
+        async with contextlib.AsyncExitStack() as stack:
+            connections = [
+                await stack.enter_async_context(connect(Target))
+                for _ in range(4)
+            ]
+            futures = [
+                connection.send(b'x', matches_request, LIMITS)
+                for connection in connections
+            ]
+            failed, _ = await asyncio.wait(
+                futures, timeout=2, return_when=asyncio.FIRST_COMPLETED
+            )
+            assert failed
+            for each in failed:
+                assert isinstance(each.exception(), ReplyLimitError)
+
+    asyncio.run(play())
+    assert BUFFER.used_bytes == 0
+
+
+def test_answered_requests_leave_nothing_reserved():
+    """Guards against a bound that fills up with what was answered."""
+
+    async def play():
+        async with connect(lambda: CuttingTarget(OWN, True, False)) as one:
+            await one.send(b'x', matches_request, LIMITS)
+            assert BUFFER.used_bytes == 0
+            await one.send(b'x', matches_request, LIMITS)
 
     asyncio.run(play())
     assert BUFFER.used_bytes == 0
