Keep no received bytes with the errors of attempts

What callers would have seen: an entry that ends for lack of memory, and all of its requests with it.

Cause: each reply is cut at its limit, but the error that cuts it refers to its traceback, and so to the received block of up to 256 KiB. The parser of the connection keeps the part of a header that it has read. A request keeps errors and connections of its attempts until it ends.

Change: the error that is handed on has no traceback, and a failed connection drops its parser.

--- a/shallotgate/aio/_target_connection.py
+++ b/shallotgate/aio/_target_connection.py
@@ -125,7 +125,9 @@
         try:
             self._parse(data)
         except ReplyLimitError as error:
-            self._fail(error)
+            # Another one: the traceback refers to the received bytes, and the
+            # request keeps the errors of its attempts until it ends.
+            self._fail(ReplyLimitError(str(error)))
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
@@ -227,6 +229,9 @@
         self._waiter = None
         self._meter.finish()
         self._discard_reply()
+        # Another one: it holds the part of a header that it has read.
+        self._parser = httptools.HttpResponseParser(self)
+        self._in_reply = False
         if waiter is not None and not waiter.done():
             waiter.set_exception(error)
             # Nobody may wait any more.
--- a/shallotgate/aio/tests/test_endless_replies.py
+++ b/shallotgate/aio/tests/test_endless_replies.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+import tracemalloc
 
 import pytest
 from hypothesis import given, settings
@@ -154,6 +155,34 @@
     assert BUFFER.used_bytes == 0
 
 
+@pytest.mark.parametrize('kind', ['one header', 'unframed body'])
+def test_failed_attempts_keep_no_bytes(kind):
+    """Guards against errors and parsers that hold what was received.
+
+    The errors of its attempts are kept until a request ends.
+    """
+
+    async def fail():
+        target = EndlessTarget(*ENDLESS[kind])
+        async with connect(lambda: target) as connection:
+            future = connection.send(b'x', matches_request, LIMITS)
+            await asyncio.wait({future}, timeout=20)
+            return connection, future.exception()
+
+    async def play():
+        await fail()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        kept = [await fail() for _ in range(20)]
+        held = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        return held, kept
+
+    held, kept = asyncio.run(play())
+    assert all(isinstance(error, ReplyLimitError) for _, error in kept)
+    assert held < len(kept) * 16 * 1024
+
+
 # Replies that stop in the middle of their head.
 PARTIAL_HEADS = {
     'one header': STATUS + b'Name: ' + b'v' * 14_000,
