--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	$(BIN)/python -m testkit.soak --seed $(or $(SEED),1) --minutes $(or $(MINUTES),2)
 
 soak-platform: setup
-	PYTHONPATH=platform/tests:platform:. $(BIN)/python -m soak --seeds $(or $(SEEDS),1) --seconds $(or $(SECONDS),12)
+	PYTHONPATH=platform/tests:platform:. $(BIN)/python -m soak --seeds $(or $(SEEDS),1) --seconds $(or $(SECONDS),12) --kinds "$(KINDS)"
 
 clean:
 	rm -rf $(VENV) build .pytest_cache .mypy_cache .ruff_cache
