--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -1,6 +1,6 @@
 """Request path of an entry: routing, fan-out, retries and hedging."""
 
-from shallotgate.gateway._crashes import ContentBlocklist
+from shallotgate.gateway._blocklist import ContentBlocklist
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._fan_out import merge_records
 from shallotgate.gateway._follower import TierFollower
--- a/shallotgate/gateway/_call.py
+++ b/shallotgate/gateway/_call.py
@@ -1,7 +1,7 @@
 """Context of a caller request while it is being served."""
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from shallotgate.aio import IncomingRequest, ReplyLimits
 from shallotgate.gateway._crashes import CrashEvidence, RequestContent
@@ -52,6 +52,11 @@
         return max(int(self.remaining_s() * _MS_PER_S), 1)
 
 
+def make_single_attempt(call: Call) -> Call:
+    """Return a call that is sent to one target of each service at most."""
+    return replace(call, route=replace(call.route, max_attempts=1))
+
+
 def make_call(
     request: IncomingRequest,
     caller: CallerRequest,
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -8,8 +8,10 @@
 
 from shallotgate.errors import FindingsError, TransportError
 from shallotgate.generated.messages import (
+    AskContentTrial,
     AskExtras,
     AskPermits,
+    ContentSurvived,
     CrashReport,
     FollowTier,
     ObservedReplies,
@@ -85,7 +87,12 @@
 
     def send_to_leader(
         self,
-        message: ObservedReplies | AskExtras | AskPermits | CrashReport,
+        message: ObservedReplies
+        | AskExtras
+        | AskPermits
+        | CrashReport
+        | AskContentTrial
+        | ContentSurvived,
     ) -> bool:
         """Send a message to the leader; return whether it was sent.
 
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -7,8 +7,8 @@
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
 from shallotgate.gateway._active_table import ActiveTable
-from shallotgate.gateway._call import Call, make_call
-from shallotgate.gateway._crashes import ContentBlocklist
+from shallotgate.gateway._blocklist import ContentBlocklist
+from shallotgate.gateway._call import Call, make_call, make_single_attempt
 from shallotgate.gateway._directory import Directory
 from shallotgate.gateway._dispatch import Dispatch, Outcome
 from shallotgate.gateway._dispatch_contexts import DispatchContextCache
@@ -157,11 +157,21 @@
             return self._wire.refuse(504, None)
 
     async def _serve(self, call: Call, active: ActiveTable) -> Response:
-        blocked_s = self._blocklist.get_remaining_s(call.content)
-        if blocked_s:
-            call.trace.add('barred', left_s=blocked_s)
+        admission = await self._blocklist.admit(call.content)
+        if admission.refused_s:
+            call.trace.add('barred', left_s=admission.refused_s)
             self._reporter.count('refused_barred')
-            return self._wire.refuse(503, blocked_s)
+            return self._wire.refuse(503, admission.refused_s)
+        if not admission.is_trial:
+            return await self._send(call, active)
+        call.trace.add('trial')
+        self._reporter.count('trials')
+        try:
+            return await self._send(make_single_attempt(call), active)
+        finally:
+            self._blocklist.conclude_trial(call.content, call.crashes)
+
+    async def _send(self, call: Call, active: ActiveTable) -> Response:
         make_dispatch = self._make_dispatch_factory(call, active)
         if call.route.shards:
             fan_out_result = await FanOut(
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -114,6 +114,7 @@
             listing=self._listing,
             list_members=self._list_members,
             limits=self._limits,
+            on_entry_start=lambda entry: self._crashes.inform_entry(entry),
         )
         self._crashes = CrashService(
             self._mailbox,
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -26,6 +26,7 @@
 )
 from shallotgate.generated.messages import (
     BarContent,
+    ContentTrial,
     FollowTier,
     GrantExtras,
     GrantPermits,
@@ -86,7 +87,7 @@
             generator,
         )
         self._blocklist = ContentBlocklist(
-            lambda report: self._follower.send_to_leader(report)
+            lambda message: self._follower.send_to_leader(message)
         )
         self._gateway = Gateway(
             wire=wire,
@@ -106,6 +107,7 @@
         self._mailbox.subscribe(GrantExtras, self._on_grant)
         self._mailbox.subscribe(GrantPermits, self._on_permits)
         self._mailbox.subscribe(BarContent, self._on_bar_content)
+        self._mailbox.subscribe(ContentTrial, self._on_content_trial)
         self._follower = TierFollower(
             mailbox=self._mailbox,
             codec=codec,
@@ -209,6 +211,13 @@
                 delivery.message,
             )
 
+    def _on_content_trial(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._blocklist.handle_answer,
+                delivery.message,
+            )
+
     def _apply_in_loop(
         self,
         update: TierUpdate,
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -2,7 +2,8 @@
 
 from shallotgate.registry._client import RegistryClient
 from shallotgate.registry._conditions import ConditionTracker
-from shallotgate.registry._crashes import CrashService, CrashTracker
+from shallotgate.registry._content_bars import CrashService
+from shallotgate.registry._crashes import CrashTracker
 from shallotgate.registry._followers import FollowerService
 from shallotgate.registry._listing import ListingPoller, TargetListing
 from shallotgate.registry._operators import OperatorService, OrderResult
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -59,8 +59,13 @@
         listing: ListingPoller,
         list_members: Callable[[], list[str]],
         limits: LimitBoard,
+        on_entry_start: Callable[[str], None] | None = None,
     ) -> None:
-        """Subscribe to the mailbox, which must not have started."""
+        """Subscribe to the mailbox, which must not have started.
+
+        ``on_entry_start`` is called for an entry that has no table yet.
+        """
+        self._on_entry_start = on_entry_start
         self._mailbox = mailbox
         self._log = log
         self._state = state
@@ -121,6 +126,8 @@
         with self._changed:
             self._pending[delivery.sender] = _PendingRequest(delivery, now)
             self._changed.notify_all()
+        if self._on_entry_start and delivery.message.table_version < 0:
+            self._on_entry_start(delivery.sender)
         if delivery.message.observed is not None:
             self._record_replies(delivery.message.observed)
 
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from shallotgate.aio import IncomingRequest, ReplyLimits, Response
 from shallotgate.extras import RetryBudgetPolicy, RetryGrantPool
@@ -16,8 +16,10 @@
     RetryGrantClient,
 )
 from shallotgate.generated.messages import (
+    AskContentTrial,
     AskExtras,
     AskPermits,
+    ContentSurvived,
     CrashReport,
     GrantExtras,
     GrantPermits,
@@ -30,6 +32,8 @@
 from testkit.gateway._plain_wire import PlainWire
 from testkit.gateway._targets import SimulatedPool, SimulatedTarget
 
+ContentMessage = CrashReport | AskContentTrial | ContentSurvived
+
 _MS_PER_S = 1000
 # Replicas per service.
 _REPLICAS = 3
@@ -86,7 +90,10 @@
         )
         # Crash reports sent to the leader.
         self.reports: list[CrashReport] = []
-        self.blocklist = ContentBlocklist(self.reports.append)
+        # Takes all messages about contents that crash targets. Without it only
+        # reports arrive.
+        self.tell_leader: Callable[[ContentMessage], None] | None = None
+        self.blocklist = ContentBlocklist(self._send_content_message)
         self.gateway = Gateway(
             wire=PlainWire(),
             directory=self.directory,
@@ -197,6 +204,15 @@
         )
         return True
 
+    def _send_content_message(self, message: ContentMessage) -> bool:
+        if isinstance(message, CrashReport):
+            self.reports.append(message)
+        if self.tell_leader is None:
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LEADER_LATENCY_S, self.tell_leader, message)
+        return True
+
     def _ask_permits(self, ask: AskPermits) -> bool:
         if self.allocator is None or self.limits is None:
             return False
