--- a/shallotgate/registry/_content_bars.py
+++ b/shallotgate/registry/_content_bars.py
@@ -34,20 +34,28 @@
         self._log = log
         self._list_entries = list_entries
         self._tracker = CrashTracker()
+        # Term of the newest leadership, and when it was noticed.
+        self._term: int | None = None
+        self._term_began_at = float('inf')
         mailbox.subscribe(CrashReport, self._on_report)
         mailbox.subscribe(AskContentTrial, self._on_ask)
         mailbox.subscribe(ContentSurvived, self._on_survived)
 
     def inform_entry(self, entry: str) -> None:
-        """Tell an entry that has just started what is refused."""
-        if not self._log.is_leading():
+        """Tell an entry that has just started what is refused.
+
+        Refusals of a former leadership may have ended under another leader.
+        """
+        if not self._leads():
             return
-        for content_bar in self._tracker.list_bars(time.monotonic()):
+        for content_bar in self._tracker.list_bars(
+            time.monotonic(), since=self._term_began_at
+        ):
             self._send(entry, _make_message(content_bar))
 
     def _on_report(self, delivery: Delivery) -> None:
         report: CrashReport = delivery.message
-        if not self._log.is_leading():
+        if not self._leads():
             return
         now = time.monotonic()
         hold_s = self._tracker.record_crash(report.digest, report.targets, now)
@@ -67,7 +75,7 @@
 
     def _on_ask(self, delivery: Delivery) -> None:
         ask: AskContentTrial = delivery.message
-        if not self._log.is_leading():
+        if not self._leads():
             return
         now = time.monotonic()
         refused_s = self._tracker.request_trial(ask.digest, ask.trials, now)
@@ -96,7 +104,7 @@
 
     def _on_survived(self, delivery: Delivery) -> None:
         survived: ContentSurvived = delivery.message
-        if not self._log.is_leading():
+        if not self._leads():
             return
         self._tracker.record_survival(survived.digest)
         _LOGGER.info(
@@ -105,6 +113,16 @@
         )
         self._broadcast(BarContent(digest=survived.digest, hold_ms=0))
 
+    def _leads(self) -> bool:
+        """Return whether this member leads; notes the begin of each term."""
+        term = self._log.get_leading_term()
+        if term is None:
+            return False
+        if term != self._term:
+            self._term = term
+            self._term_began_at = time.monotonic()
+        return True
+
     def _broadcast(self, message: BarContent) -> None:
         for entry in self._list_entries():
             self._send(entry, message)
--- a/shallotgate/registry/_crashes.py
+++ b/shallotgate/registry/_crashes.py
@@ -138,13 +138,13 @@
         with self._lock:
             return self._records.pop(digest, None) is not None
 
-    def list_bars(self, now: float) -> list[ContentBar]:
-        """Return the refusals in force."""
+    def list_bars(self, now: float, since: float) -> list[ContentBar]:
+        """Return the refusals that began at a time or later."""
         with self._lock:
             return [
                 ContentBar(digest, record.refused_until - now, record.trials)
                 for digest, record in self._records.items()
-                if record.is_refused
+                if record.is_refused and record.refused_at >= since
             ]
 
     def get_bar(self, digest: str, now: float) -> ContentBar:
--- a/shallotgate/registry/tests/fakes.py
+++ b/shallotgate/registry/tests/fakes.py
@@ -25,8 +25,13 @@
     # Unknown, which is given as a time that is not in the past.
     previous_leadership_at = float('inf')
 
+    term = 1
+
     def is_leading(self):
         return self.leads
 
+    def get_leading_term(self):
+        return self.term if self.leads else None
+
     def on_leadership(self, callback):
         self.notify = callback
--- a/shallotgate/registry/tests/test_crashes.py
+++ b/shallotgate/registry/tests/test_crashes.py
@@ -75,8 +75,9 @@
     assert mailbox.sent == [('e1', bar), ('e2', bar)]
 
 
-def make_service(*entries):
-    mailbox, log = FakeMailbox(), FakeLog()
+def make_service(*entries, log=None):
+    mailbox = FakeMailbox()
+    log = log or FakeLog()
     log.leads = True
     service = CrashService(mailbox, log, lambda: entries)
 
@@ -128,3 +129,15 @@
     ((name, bar),) = mailbox.sent
     assert (name, bar.digest) == ('e2', 'd')
     assert bar.hold_ms > 14_000
+
+
+def test_refusal_of_a_former_leadership_is_not_told():
+    """Guards against refusing what another leader has accepted since."""
+    log = FakeLog()
+    service, mailbox, deliver = make_service('e1', log=log)
+    deliver(CrashReport(digest='d', targets=['t1', 't2']))
+    deliver(CrashReport(digest='d', targets=['t3']))
+    mailbox.sent.clear()
+    log.term = 3
+    service.inform_entry('e2')
+    assert mailbox.sent == []
