Tell what the instances reported when a test finds no common leader

The message now has the leader that each instance reported, the exits of the processes and their last lines on consensus and connections.

--- a/tests/support/_control.py
+++ b/tests/support/_control.py
@@ -4,7 +4,7 @@
 
 from shallotgate.cli import HttpReply, make_timestamped_id
 from testkit.deployments import make_small_clearing
-from testkit.runner import Tier, wait_until
+from testkit.runner import Tier, WaitTimeoutError, wait_until
 from tests.support._load import make_query
 from tests.support._queries import NO_REPLY, wait_answered
 from tests.support._timeouts import WAIT_TIMEOUT_S
@@ -29,14 +29,34 @@
     names = names or tuple(tier.list_running())
 
     def has_common_leader():
-        pages = [tier.clients.read(name, '/v1/status') for name in names]
-        found.clear()
-        found.update(page['leader'] if page else None for page in pages)
-        return len(found) == 1 and None not in found
-
-    found = set()
-    wait_until(has_common_leader, WAIT_TIMEOUT_S, 'a leader')
-    return found.pop()
+        for name in names:
+            page = tier.clients.read(name, '/v1/status')
+            found[name] = page['leader'] if page else None
+        return len(set(found.values())) == 1 and None not in found.values()
+
+    found = {}
+    try:
+        wait_until(has_common_leader, WAIT_TIMEOUT_S, 'a leader')
+    except WaitTimeoutError as error:
+        # Tells elections from processes that ended or answer nothing.
+        raise AssertionError(
+            f'{error}; reported leaders {found}; {_describe_members(tier)}'
+        ) from error
+    return found[names[0]]
+
+
+def _describe_members(tier: Tier) -> str:
+    """Return the exits and the last lines on consensus of all instances."""
+    lines = []
+    for name, process in tier.instances.items():
+        state = 'runs' if process.is_running() else 'ended'
+        records = [
+            f'{record["time"]} {record["message"]}'
+            for record in process.list_log_records()
+            if record['message'].startswith(('consensus', 'transport'))
+        ]
+        lines.append(f'{name} {state}, exits {process.exits}: {records[-5:]}')
+    return '; '.join(lines)
 
 
 def recover(tier: Tier) -> None:
