End elections on disks that take long to store votes

Cause found: a candidate began the next election 0.1 to 0.4 s after the one before, counted from before its own vote was stored, and a voter wrote its disk twice for a vote. With writes of 0.15 s or more no vote ever came in time, and each election made both store a new term: none in 25 s at 0.15, 0.2, 0.3 and 0.5 s (terms up to 55), with the options of the product and of the platform.

Change: term and vote are one write. A candidate waits from the moment at which its vote is stored, twice as long after each election that reached a majority and had no winner, up to eight times. Elections without a reachable majority wait as before.

--- a/shallotgate/consensus/_elector.py
+++ b/shallotgate/consensus/_elector.py
@@ -16,6 +16,11 @@
 )
 from shallotgate.transport import Delivery
 
+# Longest wait for votes, as a multiple of the first. The wait doubles with each
+# election in which a majority was reached and none won: the disks need longer
+# than the wait to store the votes, or several candidates split them.
+_MAX_WAIT_FACTOR = 8
+
 
 class Elector:
     """Runs elections; only the worker thread accesses its state.
@@ -39,6 +44,8 @@
         # there is none.
         self._granted_pre_votes: set[str] | None = None
         self._granted_votes: set[str] | None = None
+        # Elections since the last leader.
+        self._elections = 0
         for message_type, handler in (
             (PreVoteReply, self._on_pre_vote_reply),
             (VoteReply, self._on_vote_reply),
@@ -61,6 +68,7 @@
         now = time.monotonic()
         if state.last_leader_contact != self._last_leader_contact:
             self._last_leader_contact = state.last_leader_contact
+            self._elections = 0
             self._election_due_at = (
                 self._last_leader_contact
                 + self._random.uniform(
@@ -110,11 +118,12 @@
         )
         self._count_pre_vote(state.identity)
 
-    def _schedule_retry(self) -> None:
-        self._election_due_at = time.monotonic() + self._random.uniform(
+    def _schedule_retry(self, factor: int = 1) -> None:
+        wait_s = self._random.uniform(
             self._state.options.election_retry_min_s,
             self._state.options.election_retry_max_s,
         )
+        self._election_due_at = time.monotonic() + wait_s * factor
 
     def _broadcast_to_voters(self, message: object) -> None:
         state = self._state
@@ -139,8 +148,10 @@
 
     def _start_vote(self, *, is_transfer: bool) -> None:
         state = self._state
-        self._schedule_retry()
         state.store_vote(state.term + 1, state.identity)
+        # Counted from here: the own disk may be slow as well.
+        self._schedule_retry(min(2**self._elections, _MAX_WAIT_FACTOR))
+        self._elections += 1
         self._granted_pre_votes = None
         self._granted_votes = set()
         self._broadcast_to_voters(
@@ -168,6 +179,7 @@
         self._granted_votes.add(identity)
         if self._state.journal.group.has_majority(self._granted_votes):
             self._clear_election()
+            self._elections = 0
             self._on_elected()
 
     def _on_timeout_now(self, delivery: Delivery) -> None:
--- a/shallotgate/consensus/_voter.py
+++ b/shallotgate/consensus/_voter.py
@@ -75,9 +75,13 @@
         if not message.transfer and self._has_recent_leader():
             # The lease of the leader relies on this refusal.
             return False
-        state.adopt_term(message.term)
-        if state.vote_state.voted_for or not self._is_log_up_to_date(message):
+        is_free = message.term > state.term or not state.vote_state.voted_for
+        if not (is_free and self._is_log_up_to_date(message)):
+            state.adopt_term(message.term)
             return state.vote_state.voted_for == message.identity
+        if message.term > state.term:
+            state.step_down()
+        # Term and vote in one write: the candidate waits for it.
         state.store_vote(message.term, message.identity)
         self._on_granted()
         return True
