Use a permit for a limited target once

Cause: the permit of a query's first attempt stayed in its place when the reserved target was sent to, and a second attempt within 0.25 s took it again, to the same target: a repeat where another replica was wanted, and one more request than the leader had granted.

Change: the permit is taken with the reserved target. The new test failed before (148 requests reached a limited target twice) and passes; the other 14 of the module pass.

--- a/shallotgate/gateway/_target_selection.py
+++ b/shallotgate/gateway/_target_selection.py
@@ -62,7 +62,9 @@
         A permit for one that states a limit is requested first; a later call
         returns that target. ``is_extra`` is whether the attempt repeats one.
         """
-        target = self._reserved or self.permit.take()
+        # Taken in any case: it is that of the reserved target, if there is one.
+        permitted = self.permit.take()
+        target = self._reserved or permitted
         self._reserved = None
         if target is not None:
             return target
--- a/shallotgate/gateway/tests/test_target_limits.py
+++ b/shallotgate/gateway/tests/test_target_limits.py
@@ -265,3 +265,30 @@
     broken, counts = run_virtual(play())
     assert broken == []
     assert min(counts) > 0
+
+
+def test_no_request_reaches_a_limited_target_twice():
+    """Guards against a second attempt that uses the permit of the first.
+
+    It went to the same target, which counts both against its limit, instead of
+    another replica.
+    """
+
+    async def play():
+        tier = make_tier(shards=4)
+        sharing = asyncio.ensure_future(tier.exchange_reports())
+        await tier.send_requests(60, 40)
+        limited = limit_targets(tier, 200)
+        await tier.send_requests(200, 40)
+        for target in limited:
+            target.service_time_s = 0.1
+            # Ids begin anew with each series of requests.
+            target.received_ids.clear()
+        await tier.send_requests(400, 40)
+        sharing.cancel()
+        return [
+            len(target.received_ids) - len(set(target.received_ids))
+            for target in limited
+        ]
+
+    assert sum(run_virtual(play())) == 0
