--- a/shallotgate/gateway/_call.py
+++ b/shallotgate/gateway/_call.py
@@ -8,7 +8,7 @@
 from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._trace import RequestTrace
 from shallotgate.gateway._wire import CallerRequest
-from shallotgate.routes import Route
+from shallotgate.routes import ClientAccount, Route
 
 _MS_PER_S = 1000
 # An answer is sent this long before the caller's timeout, in seconds.
@@ -42,6 +42,18 @@
     reply_limits: ReplyLimits = field(default_factory=ReplyLimits)
     trace: RequestTrace = field(default_factory=RequestTrace)
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
+    # Account of the caller; None if the table has no accounts.
+    account: ClientAccount | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is the highest.
+
+        That of the account takes precedence over that of the route.
+        """
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline."""
--- a/shallotgate/gateway/_send_permit.py
+++ b/shallotgate/gateway/_send_permit.py
@@ -24,7 +24,7 @@
     """
     request = PermitRequest(
         scope=call.route.services[0],
-        priority=call.route.priority,
+        priority=call.priority,
         needed=needed,
         choices=[
             [target.listed.target for target in choice] for choice in choices
--- a/shallotgate/routes/__init__.py
+++ b/shallotgate/routes/__init__.py
@@ -5,6 +5,7 @@
 from shallotgate.routes._split import SplitChooser
 from shallotgate.routes._table import (
     CallerLimits,
+    ClientAccount,
     Route,
     RoutingTable,
     Service,
@@ -14,6 +15,7 @@
 
 __all__ = (
     'CallerLimits',
+    'ClientAccount',
     'Route',
     'RouteIndex',
     'RoutingTable',
--- a/shallotgate/routes/_table.py
+++ b/shallotgate/routes/_table.py
@@ -1,6 +1,6 @@
 """Routing table as published by operators."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 
@@ -39,6 +39,8 @@
     top_count: int = 0
     # Minimum share of shards required for an answer, 0 to 1.
     min_coverage: float = 0
+    # Whether requests need no key of a client account.
+    is_public: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -61,6 +63,21 @@
     warm_up_per_s: float = 0
 
 
+@dataclass(frozen=True)
+class ClientAccount:
+    """Customer of the operators, with its keys, priority and limit."""
+
+    name: str
+    # Keys that authenticate its requests; kept out of logs.
+    keys: tuple[str, ...] = field(default=(), repr=False)
+    # Takes precedence over the priority of a route; None leaves that one.
+    priority: int | None = None
+    # Requests a second over all entries; 0 means no limit.
+    rate_per_s: float = 0
+    # Requests that may come at once beyond the rate.
+    burst: float = 0
+
+
 @dataclass(frozen=True)
 class CallerLimits:
     """Size and time limits for caller requests."""
@@ -81,6 +98,8 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: CallerLimits = CallerLimits()
+    # Without accounts no request needs a key.
+    accounts: tuple[ClientAccount, ...] = ()
 
 
 class TableCodec(Protocol):
