--- a/shallotgate/aio/_message.py
+++ b/shallotgate/aio/_message.py
@@ -1,6 +1,6 @@
 """Requests and responses."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 # Names are as received; order and repetition are kept.
@@ -25,7 +25,8 @@
     method: bytes
     # Path with the query, as received.
     path: bytes
-    headers: Headers
+    # Kept out of the representation: they may contain keys.
+    headers: Headers = field(repr=False)
     body: bytes
     # Monotonic time at which its last byte came, in seconds.
     received_at: float
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -69,7 +69,8 @@
         self._leader = ''
         self._is_connected = False
         self._stopped = threading.Event()
-        # Monotonic time of the last reply from a leader.
+        # Monotonic time of the last reply from a leader; a reply that was
+        # received later than a leader holds a request counts as that old.
         self.last_reply_at = float('-inf')
         self._thread = threading.Thread(
             target=self._run,
@@ -132,6 +133,7 @@
         position = self._read_position()
         if self._is_base_lost:
             position = replace(position, table_version=-1)
+        sent_at = time.monotonic()
         reply = self._mailbox.call(peer, position, timeout_s)
         if not isinstance(reply, TierUpdate):
             self._drop_leader('unexpected reply')
@@ -144,7 +146,8 @@
             _LOGGER.info('Leader found.', extra={'leader': peer})
         self._is_connected = True
         self._leader = peer
-        self.last_reply_at = time.monotonic()
+        # After a freeze, the reply may be older than its receipt suggests.
+        self.last_reply_at = min(time.monotonic(), sent_at + _POLL_TIMEOUT_S)
         if reply.members:
             self._peers = list(dict.fromkeys((*reply.members, *self._seeds)))
         self._apply(reply, self._decode(reply.table))
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -7,6 +7,7 @@
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
 from shallotgate.gateway._active_table import ActiveTable
+from shallotgate.gateway._authenticator import CallerAuthenticator
 from shallotgate.gateway._blocklist import ContentBlocklist
 from shallotgate.gateway._call import Call, make_call, make_single_attempt
 from shallotgate.gateway._directory import Directory
@@ -50,6 +51,7 @@
         self._generator = generator
         self._reporter = reporter
         self._blocklist = blocklist
+        self.authenticator = CallerAuthenticator(wire, reporter, generator)
         self._active: ActiveTable | None = None
         self._permits = permits
         self._contexts = DispatchContextCache(
@@ -103,6 +105,8 @@
         """Activate a table if it is newer than the active one."""
         if table.version <= self.version:
             return
+        # First, so that no error in the rest keeps a revoked key valid.
+        self.authenticator.apply_table(table)
         self._active = ActiveTable.create(table, self._generator)
         self._contexts.apply_table(table)
         _LOGGER.info(
@@ -130,10 +134,14 @@
         if route is None:
             self._reporter.count('no_route')
             return self._wire.refuse(404, None)
-        call = make_call(request, caller, route, self.version, self._options)
+        call, refusal = self.authenticator.authenticate(
+            make_call(request, caller, route, self.version, self._options)
+        )
         try:
             with self._reporter.observe(call) as observation:
-                response = await self._serve_until_drained(call, active)
+                response = refusal or await self._serve_until_drained(
+                    call, active
+                )
                 observation.conclude(response.status)
         finally:
             # Runs also when the caller has disconnected.
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -14,6 +14,9 @@
 _SAMPLE_INTERVAL = 200
 # Maximum logged requests per second; the rest is counted.
 _MAX_LOGGED_PER_S = 50
+# Accounts with a counter of their own in the lifetime of a process; requests of
+# others share one.
+_MAX_COUNTED_ACCOUNTS = 1000
 
 
 class RequestObservation:
@@ -37,14 +40,28 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        # Accounts that have a counter.
+        self._accounts: set[str] = set()
         self._requests = 0
         self._second = 0
         self._logged = 0
         self._left_out = 0
 
-    def count(self, event: str) -> None:
+    def count(self, event: str, **labels: str) -> None:
         """Increment the counter of an event."""
-        self._metrics.count(f'gateway_{event}_total')
+        self._metrics.count(f'gateway_{event}_total', 1, **labels)
+
+    def count_account(self, name: str | None) -> None:
+        """Count a request by its account; None is a public request."""
+        if name is None:
+            self.count('public_requests')
+            return
+        if name not in self._accounts:
+            if len(self._accounts) >= _MAX_COUNTED_ACCOUNTS:
+                self.count('account_requests_left_out')
+                return
+            self._accounts.add(name)
+        self.count('account_requests', account=name)
 
     @contextmanager
     def observe(self, call: Call) -> Iterator[RequestObservation]:
--- a/shallotgate/gateway/_wire.py
+++ b/shallotgate/gateway/_wire.py
@@ -1,7 +1,7 @@
 """Platform-neutral view of the headers of callers and targets."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from shallotgate.aio import Headers, IncomingRequest, Reply, Response
@@ -17,8 +17,13 @@
     host: str
     # Timeout of the caller in milliseconds; None if not given.
     timeout_ms: float | None
-    # Request head common to all targets, without the headers of an attempt.
-    head: bytes
+    # Request head common to all targets, without the headers of an attempt. It
+    # may contain the caller's key.
+    head: bytes = field(repr=False)
+    # The same without headers that authenticate the caller.
+    anonymous_head: bytes = field(default=b'', repr=False)
+    # Key of a client account; empty if not given.
+    key: bytes = field(default=b'', repr=False)
 
 
 @dataclass(frozen=True)
@@ -60,6 +65,13 @@
     def decode_request(self, request: IncomingRequest) -> CallerRequest:
         """Decode a caller request; raises ``FindingsError``."""
 
+    def encode_account(
+        self,
+        caller: CallerRequest,
+        account: str | None,
+    ) -> CallerRequest:
+        """Return the request without the key and with the account's name."""
+
     def encode_attempt(
         self,
         caller: CallerRequest,
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -242,6 +242,10 @@
         # effect.
         if table is not None:
             self._gateway.activate_table(table)
+        if table is not None or update.table is None:
+            self._gateway.authenticator.confirm_table(
+                self._follower.last_reply_at
+            )
         if update.domains is not None:
             self._directory.apply_domains_out(
                 update.domains.revision,
--- a/shallotgate/routes/_check.py
+++ b/shallotgate/routes/_check.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from shallotgate.errors import Finding, FindingsError
+from shallotgate.routes._account_check import iter_account_faults
 from shallotgate.routes._index import normalize_host
 from shallotgate.routes._table import Route, RoutingTable
 
@@ -43,6 +44,7 @@
             reason = f'has the same host and prefix as {existing.name}'
             yield route.name, reason
         yield from _iter_route_faults(route, known)
+    yield from iter_account_faults(table.accounts)
 
 
 def _iter_route_faults(
--- a/testkit/gateway/_plain_wire.py
+++ b/testkit/gateway/_plain_wire.py
@@ -1,6 +1,7 @@
 """Wire codec of the simulation: a request consists of its id."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from shallotgate.aio import Headers, IncomingRequest, Reply, Response
 from shallotgate.gateway import CallerRequest, ReplyMetadata
@@ -13,7 +14,16 @@
 
     def decode_request(self, request: IncomingRequest) -> CallerRequest:
         """Use the body as the request id."""
-        return CallerRequest(request.body, 'host', None, b'')
+        key = request.read_header(b'key') or b''
+        return CallerRequest(request.body, 'host', None, b'', key=key)
+
+    def encode_account(
+        self,
+        caller: CallerRequest,
+        account: str | None,
+    ) -> CallerRequest:
+        """Remove the key."""
+        return replace(caller, key=b'')
 
     def encode_attempt(
         self,
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -133,12 +133,14 @@
             for name in names
         )
         only_route = Route('r', 'host', '/', **fields)  # type: ignore[arg-type]
-        self.gateway.activate_table(RoutingTable(1, (only_route,), services))
+        self.table = RoutingTable(1, (only_route,), services)
+        self.gateway.activate_table(self.table)
 
     async def send_request(
         self,
         request_id: str,
         network_s: float = 0,
+        key: bytes = b'',
     ) -> tuple[Response, float]:
         """Send a request; return the response and the latency in ms."""
         loop = asyncio.get_running_loop()
@@ -147,7 +149,7 @@
             IncomingRequest(
                 method=b'GET',
                 path=b'/x',
-                headers=[],
+                headers=[(b'key', key)] if key else [],
                 body=request_id.encode(),
                 received_at=started_at,
                 network_s=network_s,
