--- a/shallotgate/metrics/__init__.py
+++ b/shallotgate/metrics/__init__.py
@@ -1,5 +1,5 @@
 """Counters, gauges and HdrHistograms with labels."""
 
-from shallotgate.metrics._registry import QUANTILES, Metrics
+from shallotgate.metrics._registry import QUANTILES, Metrics, load_histograms
 
-__all__ = ('QUANTILES', 'Metrics')
+__all__ = ('QUANTILES', 'Metrics', 'load_histograms')
--- a/shallotgate/metrics/_registry.py
+++ b/shallotgate/metrics/_registry.py
@@ -1,9 +1,13 @@
 """Metric registry with Prometheus text rendering."""
 
+import functools
+import importlib
 import threading
 from collections.abc import Callable, Iterator, Mapping
+from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 _LOWEST_US = 1
 _HIGHEST_US = 120_000_000
@@ -25,6 +29,17 @@
     return f'{name}{{{joined}}}' if pairs else name
 
 
+@functools.cache
+def load_histograms() -> type['HdrHistogram']:
+    """Import the histograms' library and return its class.
+
+    The import takes a noticeable part of the start-up time of a process, and
+    nothing needs it before the first duration is recorded.
+    """
+    module = importlib.import_module('hdrh.histogram')
+    return module.HdrHistogram  # type: ignore[no-any-return]
+
+
 class Metrics:
     """Thread-safe registry of metrics, rendered as Prometheus text.
 
@@ -63,7 +78,7 @@
         with self._lock:
             histogram = self._histograms.get(key)
             if histogram is None:
-                histogram = HdrHistogram(
+                histogram = load_histograms()(
                     _LOWEST_US,
                     _HIGHEST_US,
                     _SIGNIFICANT_DIGITS,
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -71,7 +71,7 @@
         self,
         settings: NodeSettings,
         codec: TableCodec,
-        listing: TargetListing,
+        make_listing: Callable[[], TargetListing],
         make_handler: Callable[[OperatorService], Handler],
     ) -> None:
         self._metrics = Metrics()
@@ -97,7 +97,7 @@
             options=_CONSENSUS_OPTIONS,
         )
         self._listing = ListingPoller(
-            listing,
+            make_listing,
             source=start_id,
             period_s=max(
                 settings.drain_ms / _MS_PER_S / _POLLS_PER_DRAIN,
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -34,7 +34,7 @@
 )
 from shallotgate.generated.node import NodeSettings
 from shallotgate.logs import get_logger
-from shallotgate.metrics import Metrics
+from shallotgate.metrics import Metrics, load_histograms
 from shallotgate.node._metrics import make_metrics_server
 from shallotgate.node._settings import (
     get_listen_address,
@@ -138,6 +138,8 @@
         await self._ready_server.start()
         if self._metrics_server is not None:
             await self._metrics_server.start()
+        # While the leader is looked for, rather than with the first answer.
+        self._loop.run_in_executor(None, load_histograms)
 
     async def stop(self) -> None:
         """Signal unreadiness, drain open requests, then stop."""
--- a/shallotgate/registry/_listing.py
+++ b/shallotgate/registry/_listing.py
@@ -40,16 +40,19 @@
 
     def __init__(
         self,
-        listing: TargetListing,
+        make_listing: Callable[[], TargetListing],
         source: str,
         period_s: float,
         get_leading_term: Callable[[], int | None],
     ) -> None:
         """``source`` identifies this process start in revisions.
 
+        ``make_listing`` is called on the polling thread: importing an HTTP
+        client takes a quarter of the start-up time of a member, and an election
+        does not need it.
         ``get_leading_term`` returns None if this member does not lead.
         """
-        self._listing = listing
+        self._make_listing = make_listing
         self._source = source
         self._period_s = period_s
         self._get_leading_term = get_leading_term
@@ -96,19 +99,24 @@
             return self._make_full()
 
     def _run(self) -> None:
+        try:
+            listing = self._make_listing()
+        except Exception:
+            _LOGGER.exception('The list of targets cannot be read at all.')
+            raise
         while not self._stopped.is_set():
             term = self._get_leading_term()
             if term is None:
                 self._stopped.wait(_LEADERSHIP_POLL_S)
                 continue
             started_at = time.monotonic()
-            self._read(term)
+            self._read(listing, term)
             remaining_s = started_at + self._period_s - time.monotonic()
             self._stopped.wait(max(remaining_s, 0))
 
-    def _read(self, term: int) -> None:
+    def _read(self, listing: TargetListing, term: int) -> None:
         try:
-            targets = self._listing.read()
+            targets = listing.read()
         except Exception as error:
             # Of any kind: without this thread the list is not followed.
             if not self._is_failing:
--- a/shallotgate/registry/tests/test_listing.py
+++ b/shallotgate/registry/tests/test_listing.py
@@ -54,7 +54,7 @@
 @pytest.fixture
 def reader(listing):
     term = [1]
-    reader = ListingPoller(listing, 'me', 0.01, lambda: term[0])
+    reader = ListingPoller(lambda: listing, 'me', 0.01, lambda: term[0])
     reader.term = term
     reader.start()
     wait(lambda: reader.make_update('', -1))
