--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from shallotgate.errors import FindingsError, TransportError
+from shallotgate.document_differences import apply_difference
+from shallotgate.errors import (
+    BaseVersionMismatchError,
+    FindingsError,
+    TransportError,
+)
 from shallotgate.generated.messages import (
     AskContentTrial,
     AskExtras,
@@ -165,7 +170,7 @@
         try:
             document = self._decompress(update)
             table = self._codec.decode_table(document)
-        except zlib.error:
+        except (zlib.error, BaseVersionMismatchError):
             _LOGGER.exception(
                 'Table %d is a difference from another than the own one; the '
                 'whole table is requested.',
@@ -181,6 +186,8 @@
         return table
 
     def _decompress(self, update: TableUpdate) -> bytes:
+        if update.difference is not None:
+            return apply_difference(self._document, update.difference)
         unpacker = zlib.decompressobj()
         if update.base_version >= 0:
             unpacker = zlib.decompressobj(zdict=self._document)
--- a/shallotgate/gateway/tests/test_follower.py
+++ b/shallotgate/gateway/tests/test_follower.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from shallotgate.document_differences import make_difference
 from shallotgate.errors import CallTimeoutError
 from shallotgate.gateway import TierFollower
 from shallotgate.generated.messages import (
@@ -71,6 +72,16 @@
     return TierUpdate(status='current', table=table)
 
 
+def make_difference_update(version, base_version):
+    table = TableUpdate(
+        version=version,
+        base_version=base_version,
+        document=b'',
+        difference=make_difference(b'%d' % base_version, b'%d' % version),
+    )
+    return TierUpdate(status='current', table=table)
+
+
 def run(entry, *updates):
     """Let an entry receive updates; return the versions that it stated."""
     mailbox = FakeMailbox(updates)
@@ -83,16 +94,21 @@
     return [position.table_version for position in mailbox.positions]
 
 
-def test_difference_is_applied_to_the_table_held():
+# The first is that of a leader of the previous build.
+@pytest.mark.parametrize('make_next', [make_update, make_difference_update])
+def test_difference_is_applied_to_the_table_held(make_next):
     entry = Entry()
-    assert run(entry, make_update(5), make_update(6, 5))[:3] == [-1, 5, 6]
+    assert run(entry, make_update(5), make_next(6, 5))[:3] == [-1, 5, 6]
 
 
-def test_whole_table_is_requested_after_a_difference_that_does_not_fit():
+@pytest.mark.parametrize('make_next', [make_update, make_difference_update])
+def test_whole_table_is_requested_after_a_difference_that_does_not_fit(
+    make_next,
+):
     """Guards against an entry that fails at the same difference for ever."""
     entry = Entry()
     entry.version = 4
-    versions = run(entry, make_update(5, 4), make_update(5), make_update(6, 5))
+    versions = run(entry, make_next(5, 4), make_update(5), make_next(6, 5))
     assert versions[:4] == [4, -1, 5, 6]
 
 
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -178,6 +178,7 @@
             merges_conditions=True,
             entries=self._gateway.entries,
             limits_revision=self._directory.limits_revision,
+            merges_tables=True,
         )
 
     def _report_degradation(self) -> None:
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -235,7 +235,11 @@
             status='current',
             members=self._list_members(),
             entries=self._entry_counter.count(time.monotonic()),
-            table=self._tables.make_update(registry, message.table_version),
+            table=self._tables.make_update(
+                registry,
+                message.table_version,
+                merges=message.merges_tables,
+            ),
             domains=domains,
             listing=self._listing.make_update(
                 message.listing_source,
