--- a/shallotgate/gateway/_authenticator.py
+++ b/shallotgate/gateway/_authenticator.py
@@ -81,6 +81,7 @@
         authentication: Authentication,
         unconfirmed_s: float,
     ) -> Response:
+        call.trace.is_unauthenticated = True
         is_undecided = authentication.status == 'undecided'
         if is_undecided is not self._is_undecided:
             self._log_confirmation(unconfirmed_s, is_undecided=is_undecided)
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -14,11 +14,32 @@
 _SAMPLE_INTERVAL = 200
 # Maximum logged requests per second; the rest is counted.
 _MAX_LOGGED_PER_S = 50
+# The same for requests refused for lack of a known key, which a single caller
+# may send at any rate; they must not displace the others.
+_MAX_LOGGED_UNAUTHENTICATED_PER_S = 5
 # Accounts with a counter of their own in the lifetime of a process; requests of
 # others share one.
 _MAX_COUNTED_ACCOUNTS = 1000
 
 
+class _LogLimit:
+    """Limits the logged requests of a second."""
+
+    def __init__(self, max_per_s: int) -> None:
+        self._max_per_s = max_per_s
+        self._second = 0
+        self._logged = 0
+
+    def acquire(self) -> bool:
+        """Return whether one more request may be logged."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._logged = 0
+        self._logged += 1
+        return self._logged <= self._max_per_s
+
+
 class RequestObservation:
     """Final status of a request."""
 
@@ -43,8 +64,10 @@
         # Accounts that have a counter.
         self._accounts: set[str] = set()
         self._requests = 0
-        self._second = 0
-        self._logged = 0
+        self._limit = _LogLimit(_MAX_LOGGED_PER_S)
+        self._unauthenticated_limit = _LogLimit(
+            _MAX_LOGGED_UNAUTHENTICATED_PER_S
+        )
         self._left_out = 0
 
     def count(self, event: str, **labels: str) -> None:
@@ -91,20 +114,18 @@
             and not call.trace.is_notable
         )
         is_sampled = not self._requests % _SAMPLE_INTERVAL
-        if (is_sampled or not is_routine) and self._acquire_log_slot():
+        if (is_sampled or not is_routine) and self._acquire_log_slot(call):
             self._log(call, status, duration_ms)
 
-    def _acquire_log_slot(self) -> bool:
-        second = int(time.monotonic())
-        if second != self._second:
-            self._second = second
-            self._logged = 0
-        self._logged += 1
-        if self._logged > _MAX_LOGGED_PER_S:
-            self._left_out += 1
-            self.count('log_left_out')
-            return False
-        return True
+    def _acquire_log_slot(self, call: Call) -> bool:
+        limit = self._limit
+        if call.trace.is_unauthenticated:
+            limit = self._unauthenticated_limit
+        if limit.acquire():
+            return True
+        self._left_out += 1
+        self.count('log_left_out')
+        return False
 
     def _log(self, call: Call, status: int, duration_ms: float) -> None:
         _LOGGER.info(
@@ -112,6 +133,7 @@
             extra={
                 'request_id': call.caller.request_id.decode('latin-1'),
                 'route': call.route.name,
+                'account': call.account.name if call.account else '',
                 'table_version': call.version,
                 'time_allowed_ms': round(
                     (call.deadline - call.received_at) * _MS_PER_S,
--- a/shallotgate/gateway/_trace.py
+++ b/shallotgate/gateway/_trace.py
@@ -27,6 +27,8 @@
         self.left_out = 0
         # Whether the request has to be logged, as its answer is partial.
         self.is_notable = False
+        # Whether the request was refused for lack of a known key.
+        self.is_unauthenticated = False
 
     def add(self, step: str, **inputs: object) -> None:
         """Record a decision with its inputs."""
--- a/shallotgate/metrics/_registry.py
+++ b/shallotgate/metrics/_registry.py
@@ -20,11 +20,15 @@
 
 def _format_key(key: _SeriesKey, *extra: tuple[str, str]) -> str:
     name, labels = key
-    pairs = [f'{label}="{text}"' for label, text in (*labels, *extra)]
+    pairs = [f'{label}="{_escape(text)}"' for label, text in (*labels, *extra)]
     joined = ','.join(pairs)
     return f'{name}{{{joined}}}' if pairs else name
 
 
+def _escape(text: str) -> str:
+    return text.replace('\\', r'\\').replace('"', r'\"').replace('\n', r'\n')
+
+
 class Metrics:
     """Thread-safe registry of metrics, rendered as Prometheus text.
 
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -94,12 +94,13 @@
         # reports arrive.
         self.tell_leader: Callable[[ContentMessage], None] | None = None
         self.blocklist = ContentBlocklist(self._send_content_message)
+        self.metrics = Metrics()
         self.gateway = Gateway(
             wire=PlainWire(),
             directory=self.directory,
             options=GatewayOptions(domain, allowance, ReplyLimits()),
             generator=random.Random(seed),  # noqa: S311 - no secret
-            reporter=RequestReporter(Metrics()),
+            reporter=RequestReporter(self.metrics),
             retry_grants=self._retry_grants,
             permits=self._permits,
             blocklist=self.blocklist,
