--- a/shallotgate/aio/_message.py
+++ b/shallotgate/aio/_message.py
@@ -25,9 +25,10 @@
     method: bytes
     # Path with the query, as received.
     path: bytes
-    # Kept out of the representation: they may contain keys.
+    # Headers and body are kept out of the representation: a caller's key is in
+    # a header, and the keys of all accounts are in an operator's table.
     headers: Headers = field(repr=False)
-    body: bytes
+    body: bytes = field(repr=False)
     # Monotonic time at which its last byte came, in seconds.
     received_at: float
     # Seconds that the caller waited before, and waits for the answer's way, as
@@ -47,7 +48,8 @@
     """Answer to a caller."""
 
     status: int
-    body: bytes = b''
+    # Kept out of the representation: it may be a table.
+    body: bytes = field(default=b'', repr=False)
     # Without those that concern the connection or the length.
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
--- a/shallotgate/gateway/tests/test_follower.py
+++ b/shallotgate/gateway/tests/test_follower.py
@@ -122,3 +122,29 @@
     whole = [make_update(5) for _ in range(failures)]
     versions = run(entry, *whole, make_update(6), make_update(7, 6))
     assert versions[-1] == 7
+
+
+@pytest.mark.parametrize(
+    ('waited_s', 'age_s'), [(0.01, 0), (0.9, 0), (1.6, 0), (9.0, 7.4)]
+)
+def test_reply_that_was_read_late_counts_as_old(monkeypatch, waited_s, age_s):
+    """Guards against a reply from before a freeze that confirms the table."""
+    now = [100.0]
+
+    class FrozenMailbox(FakeMailbox):
+        def call(self, peer, message, timeout_s):
+            reply = super().call(peer, message, timeout_s)
+            now[0] += waited_s
+            return reply
+
+    monkeypatch.setattr('time.monotonic', lambda: now[0])
+    entry = Entry()
+    follower = TierFollower(
+        FrozenMailbox([make_update(5)]),
+        FakeCodec(),
+        ['leader'],
+        entry.read_position,
+        entry.apply,
+    )
+    follower._poll('leader')
+    assert now[0] - follower.last_reply_at == pytest.approx(age_s)
--- a/shallotgate/registry/_client.py
+++ b/shallotgate/registry/_client.py
@@ -4,7 +4,7 @@
 import time
 import zlib
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from shallotgate.codec import decode_tagged, encode_tagged
 from shallotgate.consensus import ReplicatedLog
@@ -40,8 +40,8 @@
     """Routing table that was active at some point during the read."""
 
     version: int
-    # Uncompressed, as submitted by the operator.
-    document: bytes
+    # Uncompressed, as submitted by the operator, with all keys.
+    document: bytes = field(repr=False)
 
 
 class RegistryClient:
