--- /dev/null
+++ b/shallotgate/account_limits/_fallback.py
@@ -0,0 +1,97 @@
+"""Requests of accounts that an entry admits without an answer of the leader."""
+
+import random
+
+from shallotgate.account_limits._limits import (
+    FALLBACK_PLACES,
+    FALLBACK_SHARE,
+)
+from shallotgate.generated.messages import PermitRequest
+from shallotgate.routes import ClientAccount
+from shallotgate.target_limits import DENIED, FallbackShare, TokenBucket
+
+# Time after which an entry may again use one of the places that all entries
+# together may use at once, in seconds: longer than any usual time without a
+# leader.
+_REDRAW_S = 30.0
+# Time to wait if nothing is known of when there is room, in seconds.
+_UNKNOWN_WAIT_S = 0.5
+
+
+class QuotaFallback:
+    """Admits requests at this entry's part of a small share of the limits.
+
+    Accounts that are calm, so that even a surge stays within their allowance,
+    are admitted up to their rate. Of the others, all entries together admit
+    ``FALLBACK_PLACES`` at once, and ``FALLBACK_SHARE`` of the rate.
+    ``now`` is in monotonic seconds.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        self._even = FallbackShare(generator, FALLBACK_SHARE)
+        # Of accounts that are calm.
+        self._buckets: dict[str, TokenBucket] = {}
+        # Times at which it was drawn whether this entry may use a place, and
+        # whether it may.
+        self._drawn_at: dict[str, float] = {}
+
+    def reset(self, now: float) -> None:
+        """Forget what has no effect any more: the leader answers again.
+
+        Draws are kept: a leader that comes and goes would otherwise give each
+        entry a place each time.
+        """
+        self._even.reset()
+        self._buckets.clear()
+        self._drawn_at = {
+            name: drawn_at
+            for name, drawn_at in self._drawn_at.items()
+            if now - drawn_at < _REDRAW_S
+        }
+
+    def admit(
+        self,
+        account: ClientAccount,
+        entries: int,
+        now: float,
+        *,
+        is_calm: bool,
+    ) -> float:
+        """Return the seconds to wait; 0 if the request is admitted.
+
+        ``entries`` share the limit; 0 if the number is unknown.
+        """
+        if is_calm:
+            return self._admit_calm(account, now)
+        if entries and self._draw(account.name, entries, now):
+            return 0
+        request = PermitRequest(
+            scope='', priority=0, needed=1, choices=[[account.name]]
+        )
+        limits = {account.name: account.rate_per_s}
+        granted = self._even.grant(request, limits, entries, now)
+        if granted[0] != DENIED:
+            return 0
+        wait_s = self._even.get_wait_s(account.name, now)
+        return _UNKNOWN_WAIT_S if wait_s is None else wait_s
+
+    def _admit_calm(self, account: ClientAccount, now: float) -> float:
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = TokenBucket(account.rate_per_s, 1, now)
+            bucket.level = 1
+            self._buckets[account.name] = bucket
+        bucket.advance_to(now)
+        bucket.set_rate(account.rate_per_s, 1)
+        if bucket.level >= 1:
+            bucket.level -= 1
+            return 0
+        return (1 - bucket.level) / account.rate_per_s
+
+    def _draw(self, name: str, entries: int, now: float) -> bool:
+        drawn_at = self._drawn_at.get(name, float('-inf'))
+        if now - drawn_at < _REDRAW_S:
+            return False
+        self._drawn_at[name] = now
+        return self._generator.random() * entries < FALLBACK_PLACES
--- /dev/null
+++ b/shallotgate/account_limits/_ledger.py
@@ -0,0 +1,186 @@
+"""Account of the leader for the limit of one client account."""
+
+from dataclasses import dataclass
+
+from shallotgate.account_limits._limits import (
+    FALLBACK_SHARE,
+    INITIAL_PLACES,
+    LEASE_MARGIN_S,
+    LEASE_S,
+    LEASED_SHARE,
+    MIN_LEASED_PER_S,
+    PLACE_LIFETIME_S,
+    WINDOW_S,
+    get_capacity,
+    is_calm,
+)
+from shallotgate.account_limits._line import RetryLine
+from shallotgate.extras import SlidingWindowCounter
+from shallotgate.generated.messages import ShareGrant, ShareRequest
+from shallotgate.routes import ClientAccount
+from shallotgate.target_limits import TokenBucket
+
+# A lease is larger than the demand by this factor, so that chance does not
+# empty it.
+_LEASE_FACTOR = 1.25
+# Time for which the wish of an entry without a lease counts, in seconds: longer
+# than its interval between two questions.
+_WANT_S = 2.0
+# Part of the saved places that is left to requests that wait.
+_KEPT_SHARE = 0.5
+# Least time over which the usage is measured, in seconds.
+_MIN_MEASURED_S = 1.0
+
+
+@dataclass(frozen=True)
+class _Lease:
+    # Rate that the entry wants, and the highest one that it may hold until it
+    # states another: an answer may not have arrived.
+    wanted: float
+    reserved: float
+    # Monotonic time.
+    expires_at: float
+
+
+class AccountLedger:
+    """Token bucket, leases and demand of one account on the leader."""
+
+    def __init__(self, account: ClientAccount, leading_since: float) -> None:
+        self._account = account
+        self._since = leading_since
+        self._leases: dict[str, _Lease] = {}
+        self._received = SlidingWindowCounter(WINDOW_S)
+        self._line = RetryLine()
+        # Rate at which the bucket fills.
+        self._open_per_s = account.rate_per_s
+        self._bucket = TokenBucket(
+            account.rate_per_s, get_capacity(account), leading_since
+        )
+        self._bucket.level = min(INITIAL_PLACES, get_capacity(account))
+        self.used_at = leading_since
+
+    @property
+    def account(self) -> ClientAccount:
+        """The account, with its limit."""
+        return self._account
+
+    @property
+    def leased_per_s(self) -> float:
+        """Sum of the rates that entries may hold."""
+        return sum(lease.reserved for lease in self._leases.values())
+
+    def is_calm(self, now: float) -> bool:
+        """Return whether even a surge would stay within the allowance."""
+        self._received.advance_to(now)
+        return is_calm(self._account, self._received.requests)
+
+    def get_usage(self, now: float) -> float:
+        """Return the demand as a part of the limit."""
+        self._received.advance_to(now)
+        measured_s = min(max(now - self._since, _MIN_MEASURED_S), WINDOW_S)
+        limit = self._account.rate_per_s * measured_s + self._account.burst
+        return self._received.requests / limit
+
+    def advance(
+        self, account: ClientAccount, silent_share: float, now: float
+    ) -> None:
+        """Apply the limit of the newest table, and fill the bucket.
+
+        ``silent_share`` is the part of the entries that have not been heard
+        from and may use their part of the limit on their own.
+        """
+        # Before the rate changes: it applied until now.
+        self._bucket.advance_to(now)
+        self._account = account
+        self.used_at = now
+        self._leases = {
+            entry: lease
+            for entry, lease in self._leases.items()
+            if lease.expires_at > now
+        }
+        silent_per_s = silent_share * FALLBACK_SHARE * account.rate_per_s
+        self._open_per_s = max(
+            account.rate_per_s - self.leased_per_s - silent_per_s, 0
+        )
+        self._bucket.set_rate(self._open_per_s, get_capacity(account))
+
+    def record(self, request: ShareRequest, now: float) -> None:
+        """Record what an entry has received and returned."""
+        self._received.add(now, requests=max(request.received, 0))
+        returned = max(request.returned, 0)
+        bucket = self._bucket
+        bucket.level = min(bucket.level + returned, bucket.capacity)
+
+    def lease(self, entry: str, request: ShareRequest, now: float) -> float:
+        """Return the rate that an entry may use from now on.
+
+        It is its part of the demand of all entries, as far as others have given
+        up theirs.
+        """
+        others = [
+            lease for name, lease in self._leases.items() if name != entry
+        ]
+        wanted = request.demand_per_s * _LEASE_FACTOR
+        if request.demand_per_s < MIN_LEASED_PER_S:
+            wanted = 0
+        leasable = self._account.rate_per_s * LEASED_SHARE
+        total = wanted + sum(lease.wanted for lease in others)
+        fair = wanted * min(leasable / total, 1) if total else 0
+        free = leasable - sum(lease.reserved for lease in others)
+        rate = max(min(fair, free), 0)
+        if rate * PLACE_LIFETIME_S < 1:
+            rate = 0
+        self._reserve(entry, _Lease(wanted, rate, now), request)
+        return rate
+
+    def grant(self, request: ShareRequest, now: float) -> ShareGrant:
+        """Return places for the requests that wait, and for later ones.
+
+        Later ones get none from the part of the bucket that is kept for
+        requests that wait.
+        """
+        places = self._take(request.waiting, 0)
+        wait_s: float = 0
+        spacing_s: float = 0
+        if places < request.waiting and self._open_per_s:
+            spacing_s = 1 / self._open_per_s
+            wait_s = self._book(request.waiting - places, spacing_s, now)
+        kept = self._bucket.capacity * _KEPT_SHARE
+        places += self._take(request.prefetch, kept)
+        return ShareGrant(
+            places=places,
+            wait_s=wait_s,
+            spacing_s=spacing_s,
+            usage=self.get_usage(now),
+            decided=bool(self._open_per_s) or places >= request.waiting,
+        )
+
+    def _reserve(
+        self, entry: str, lease: _Lease, request: ShareRequest
+    ) -> None:
+        """Reserve the greater of what an entry gets and what it holds."""
+        now = lease.expires_at
+        self._leases.pop(entry, None)
+        reserved = max(lease.reserved, request.rate_per_s)
+        if not reserved and not lease.wanted:
+            return
+        lease_s = LEASE_S if lease.reserved else max(request.lease_s, _WANT_S)
+        self._leases[entry] = _Lease(
+            lease.wanted, reserved, now + lease_s + LEASE_MARGIN_S
+        )
+
+    def _take(self, count: int, kept: float) -> int:
+        # The tolerance is for the rounding errors of the level.
+        spare = int(self._bucket.level - kept + 1e-9)
+        taken = max(min(count, spare), 0)
+        self._bucket.level -= taken
+        return taken
+
+    def _book(self, count: int, spacing_s: float, now: float) -> float:
+        """Return the seconds until the first of some further places."""
+        missing = max(1 - self._bucket.level, 0)
+        self._line.open(now + missing * spacing_s, spacing_s)
+        first_s = self._line.take(now)
+        for _ in range(count - 1):
+            self._line.take(now)
+        return first_s
--- /dev/null
+++ b/shallotgate/account_limits/_share.py
@@ -0,0 +1,193 @@
+"""Share of one entry of the limit of one account."""
+
+from collections import deque
+
+from shallotgate.account_limits._demand import DemandEstimate
+from shallotgate.account_limits._limits import LEASE_S, PLACE_LIFETIME_S
+from shallotgate.account_limits._line import RetryLine
+from shallotgate.generated.messages import ShareGrant, ShareRequest
+from shallotgate.routes import ClientAccount
+from shallotgate.target_limits import TokenBucket
+
+# Places for the next requests are kept while at least this many requests a
+# second arrive: for about half a second after a single one.
+_MIN_PREFETCH_PER_S = 0.4
+# Places that are kept, as a multiple of those that are usually needed until the
+# next question.
+_PREFETCH_FACTOR = 1.5
+# Places that expire within this time are not counted as kept, in seconds.
+_EXPIRING_S = 0.2
+# Longest time for which an answer without room applies to further requests, in
+# seconds. It bounds the questions; others may return what they do not need.
+_MAX_REFUSED_S = 0.1
+# The usage is taken as unknown after this time, in seconds.
+_USAGE_TTL_S = 10.0
+
+
+class AccountShare:
+    """What an entry holds of a limit, and what it needs.
+
+    It holds a rate, which is a lease, and places that expire. ``now`` is in
+    monotonic seconds.
+    """
+
+    def __init__(self, account: ClientAccount, now: float) -> None:
+        self.account = account
+        self.demand = DemandEstimate()
+        self._rate_per_s: float = 0
+        self._lease_until = float('-inf')
+        self._bucket = TokenBucket(0, 0, now)
+        # Expiry and number of the places, the oldest first.
+        self._places: deque[tuple[float, int]] = deque()
+        # Not stated yet: places that no target used, and requests.
+        self._returned = 0
+        self._received = 0
+        # Whether the leader may believe that this entry holds a rate.
+        self._is_rate_stated = False
+        self._refused_until = float('-inf')
+        self.line = RetryLine()
+        self._usage: float = 0
+        self._usage_at = float('-inf')
+
+    def count(self, now: float) -> None:
+        """Count a request of the account."""
+        self.demand.add(now)
+        self._received += 1
+
+    def take(self, now: float) -> bool:
+        """Use up a place if one is held."""
+        self._expire(now)
+        if self._bucket.level >= 1:
+            self._bucket.level -= 1
+            return True
+        if not self._places:
+            return False
+        expires_at, count = self._places[0]
+        if count > 1:
+            self._places[0] = (expires_at, count - 1)
+        else:
+            self._places.popleft()
+        return True
+
+    def is_refused(self, now: float) -> bool:
+        """Return whether the last answer still says that there is no room."""
+        return now < self._refused_until
+
+    def get_lease_wait_s(self, now: float) -> float:
+        """Return the seconds until the lease has room; infinite without."""
+        self._expire(now)
+        if not self._rate_per_s:
+            return float('inf')
+        return max(1 - self._bucket.level, 0) / self._rate_per_s
+
+    def give_back(self, admitted_at: float, now: float) -> None:
+        """Return a place that no target used.
+
+        One that was taken long ago is not: used again, it would shift too many
+        requests into a later window.
+        """
+        if now - admitted_at <= PLACE_LIFETIME_S:
+            self._returned += 1
+
+    def read_usage(self, now: float) -> float:
+        """Return the usage that the leader stated lately; 0 if none."""
+        return self._usage if now - self._usage_at < _USAGE_TTL_S else 0
+
+    def needs_renewal(self, now: float) -> bool:
+        """Return whether anything is to be stated, kept or given up."""
+        self._expire(now)
+        is_holding = self._places or self._rate_per_s
+        is_unstated = self._returned or self._is_rate_stated
+        is_active = self.demand.read(now) >= _MIN_PREFETCH_PER_S
+        return bool(is_holding or is_unstated or is_active)
+
+    def make_request(self, waiting: int, now: float) -> ShareRequest:
+        """Return what to ask the leader."""
+        self._expire(now)
+        demand = self.demand.read(now)
+        request = ShareRequest(
+            account=self.account.name,
+            waiting=waiting,
+            prefetch=self._count_missing(demand, now),
+            demand_per_s=demand,
+            rate_per_s=self._rate_per_s,
+            lease_s=max(self._lease_until - now, 0) if self._rate_per_s else 0,
+            returned=self._returned,
+            received=self._received,
+        )
+        # Not stated again if no answer comes: the leader may have counted it.
+        self._returned = 0
+        self._received = 0
+        self._is_rate_stated = bool(self._rate_per_s)
+        return request
+
+    def apply(
+        self, waiting: int, grant: ShareGrant, asked_at: float, now: float
+    ) -> int:
+        """Take over an answer; return how many waiting requests are admitted.
+
+        All times count from the question on, because the leader counts from
+        later on.
+        """
+        self._expire(now)
+        self._usage = grant.usage
+        self._usage_at = now
+        self._set_rate(grant.rate_per_s, asked_at + LEASE_S, now)
+        expires_at = asked_at + PLACE_LIFETIME_S
+        if expires_at <= now:
+            self._returned += grant.places
+            return 0
+        admitted = min(grant.places, waiting)
+        if grant.places > admitted:
+            self._places.append((expires_at, grant.places - admitted))
+        if admitted < waiting and grant.decided:
+            self.line.open(now + grant.wait_s, grant.spacing_s)
+            self._refused_until = now + min(grant.wait_s, _MAX_REFUSED_S)
+        return admitted
+
+    def set_limit(self, account: ClientAccount, now: float) -> None:
+        """Scale what is held to another limit."""
+        former = self.account.rate_per_s
+        self.account = account
+        if account.rate_per_s >= former:
+            return
+        self._expire(now)
+        factor = account.rate_per_s / former
+        self._set_rate(self._rate_per_s * factor, self._lease_until, now)
+        self._places = deque(
+            (expires_at, int(count * factor))
+            for expires_at, count in self._places
+            if count * factor >= 1
+        )
+
+    def _count_missing(self, demand: float, now: float) -> int:
+        """Return how many places to prefetch."""
+        if demand < _MIN_PREFETCH_PER_S:
+            return 0
+        open_per_s = max(demand * _PREFETCH_FACTOR - self._rate_per_s, 0)
+        if self._rate_per_s and not open_per_s:
+            return 0
+        kept = sum(
+            count
+            for expires_at, count in self._places
+            if expires_at - now > _EXPIRING_S
+        )
+        return max(int(open_per_s * PLACE_LIFETIME_S) + 1 - kept, 0)
+
+    def _set_rate(self, per_s: float, until: float, now: float) -> None:
+        if not self._rate_per_s:
+            # The bucket of an entry without a lease has not filled.
+            self._bucket = TokenBucket(0, 0, now)
+        self._rate_per_s = per_s
+        self._lease_until = until
+        self._bucket.set_rate(per_s, per_s * PLACE_LIFETIME_S)
+        if per_s:
+            self._is_rate_stated = True
+
+    def _expire(self, now: float) -> None:
+        while self._places and self._places[0][0] <= now:
+            self._returned += self._places.popleft()[1]
+        if self._rate_per_s and now >= self._lease_until:
+            self._rate_per_s = 0
+            self._bucket.set_rate(0, 0)
+        self._bucket.advance_to(now)
--- a/shallotgate/target_limits/__init__.py
+++ b/shallotgate/target_limits/__init__.py
@@ -2,6 +2,7 @@
 
 from shallotgate.target_limits._allocator import DENIED, PermitAllocator
 from shallotgate.target_limits._board import NO_LIMIT, LimitBoard
+from shallotgate.target_limits._bucket import TokenBucket
 from shallotgate.target_limits._fallback import FallbackShare
 
 __all__ = (
@@ -10,4 +11,5 @@
     'FallbackShare',
     'LimitBoard',
     'PermitAllocator',
+    'TokenBucket',
 )
--- a/shallotgate/target_limits/_fallback.py
+++ b/shallotgate/target_limits/_fallback.py
@@ -16,8 +16,12 @@
     ``now`` is always in monotonic seconds.
     """
 
-    def __init__(self, generator: random.Random) -> None:
+    def __init__(
+        self, generator: random.Random, share: float = FALLBACK_SHARE
+    ) -> None:
+        """``share`` is the part of each limit that all entries use together."""
         self._generator = generator
+        self._share = share
         # Earliest time of the next request, by target.
         self._next_at: dict[str, float] = {}
 
@@ -41,7 +45,7 @@
         if not entries or not request.needed:
             return denied
         intervals = {
-            target: entries / (get_rate(limits[target]) * FALLBACK_SHARE)
+            target: entries / (get_rate(limits[target]) * self._share)
             for choice in request.choices
             for target in choice
         }
@@ -61,6 +65,11 @@
             denied[index] = positions[index]
         return denied
 
+    def get_wait_s(self, target: str, now: float) -> float | None:
+        """Return the seconds until a target may be used; None if unknown."""
+        due_at = self._next_at.get(target)
+        return None if due_at is None else max(due_at - now, 0)
+
     def _find_due(
         self,
         choice: Sequence[str],
