--- a/shallotgate/account_limits/__init__.py
+++ b/shallotgate/account_limits/__init__.py
@@ -5,12 +5,13 @@
     DecisionCallback,
     QuotaDecision,
 )
-from shallotgate.account_limits._allocator import ShareAllocator
+from shallotgate.account_limits._allocator import AccountLists, ShareAllocator
 from shallotgate.account_limits._limits import get_allowance
 from shallotgate.account_limits._shares import AccountShares
 
 __all__ = (
     'AccountAdmission',
+    'AccountLists',
     'AccountShares',
     'DecisionCallback',
     'QuotaDecision',
--- a/shallotgate/account_limits/_allocator.py
+++ b/shallotgate/account_limits/_allocator.py
@@ -1,8 +1,8 @@
 """Allocation of the limits of accounts to entries; runs on the leader."""
 
 import threading
-from collections.abc import Collection, Mapping
-from dataclasses import replace
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from shallotgate.account_limits._ledger import AccountLedger
 from shallotgate.account_limits._limits import WINDOW_S, is_limited
@@ -16,11 +16,21 @@
 # Accounts that nobody has asked for during this time are forgotten, in seconds.
 # Their leases have expired and their buckets are full.
 _IDLE_S = 30.0
-# Interval at which the busy accounts are listed anew, in seconds.
-_BUSY_INTERVAL_S = 0.5
+# Interval at which the accounts are listed anew, in seconds.
+_LIST_INTERVAL_S = 0.5
 _UNDECIDED = ShareGrant(places=0, decided=False)
 
 
+@dataclass(frozen=True)
+class AccountLists:
+    """Accounts that entries must not serve freely without the leader."""
+
+    # A surge would exceed the limit.
+    busy: Sequence[str] = ()
+    # They are near their limit or above it.
+    exceeding: Sequence[str] = ()
+
+
 class ShareAllocator:
     """Grants shares of the limits of accounts to entries.
 
@@ -40,7 +50,7 @@
         self._active_since: float | None = None
         self._ledgers: dict[str, AccountLedger] = {}
         self._refusals = RefusalLog()
-        self._busy: Collection[str] = ()
+        self._lists = AccountLists()
         self._listed_at = float('-inf')
         self._evicted_at = float('-inf')
 
@@ -53,7 +63,6 @@
             self._active_since = now
             self._ledgers.clear()
             self._refusals.clear()
-            self._busy = ()
             self._listed_at = float('-inf')
 
     def deactivate(self) -> None:
@@ -89,7 +98,7 @@
             rate = ledger.lease(entry, request, now)
             # The lease has changed the rate of the bucket.
             ledger.advance(account, silent_share, now)
-            grant = ledger.grant(request, now)
+            grant = ledger.grant(entry, request, now)
             is_refused = grant.places < request.waiting
             self._refusals.record(ledger, is_refused=is_refused, now=now)
             is_settled = now - since >= _SETTLE_S
@@ -99,8 +108,8 @@
                 decided=grant.decided and (is_settled or not is_refused),
             )
 
-    def list_busy(self, now: float) -> Collection[str] | None:
-        """Return the accounts of which a surge would exceed the limit.
+    def list_accounts(self, now: float) -> AccountLists | None:
+        """Return the accounts that need the leader.
 
         None if this member has not led for long enough to know.
         """
@@ -108,14 +117,14 @@
             since = self._active_since
             if since is None or now - since < WINDOW_S:
                 return None
-            if now - self._listed_at >= _BUSY_INTERVAL_S:
+            if now - self._listed_at >= _LIST_INTERVAL_S:
                 self._listed_at = now
-                self._busy = [
-                    name
-                    for name, ledger in self._ledgers.items()
-                    if not ledger.is_calm(now)
-                ]
-            return self._busy
+                ledgers = self._ledgers.items()
+                self._lists = AccountLists(
+                    [name for name, one in ledgers if not one.is_calm(now)],
+                    [name for name, one in ledgers if one.is_near_limit(now)],
+                )
+            return self._lists
 
     def get_usage(self, now: float) -> dict[str, float]:
         """Return the demand of the active accounts as parts of their limits."""
--- a/shallotgate/account_limits/_demand.py
+++ b/shallotgate/account_limits/_demand.py
@@ -2,7 +2,7 @@
 
 import math
 
-# Time constant of the decay, in seconds.
+# Usual time constant of the decay, in seconds.
 _DECAY_S = 2.0
 
 
@@ -16,15 +16,16 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, decay_s: float = _DECAY_S) -> None:
+        self._decay_s = decay_s
         self._per_s: float = 0
         self._updated_at = float('-inf')
 
-    def add(self, now: float) -> None:
-        """Count a request."""
-        self._per_s = self.read(now) + 1 / _DECAY_S
+    def add(self, now: float, count: int = 1) -> None:
+        """Count requests."""
+        self._per_s = self.read(now) + count / self._decay_s
         self._updated_at = now
 
     def read(self, now: float) -> float:
         """Return the rate; ``now`` is in monotonic seconds."""
-        return self._per_s * math.exp((self._updated_at - now) / _DECAY_S)
+        return self._per_s * math.exp((self._updated_at - now) / self._decay_s)
--- a/shallotgate/account_limits/_fallback.py
+++ b/shallotgate/account_limits/_fallback.py
@@ -1,10 +1,11 @@
 """Requests of accounts that an entry admits without an answer of the leader."""
 
 import random
+from dataclasses import dataclass
 
 from shallotgate.account_limits._limits import (
-    FALLBACK_PLACES,
     FALLBACK_SHARE,
+    get_fallback_places,
 )
 from shallotgate.generated.messages import PermitRequest
 from shallotgate.routes import ClientAccount
@@ -18,12 +19,21 @@
 _UNKNOWN_WAIT_S = 0.5
 
 
+@dataclass(frozen=True)
+class AccountState:
+    """What the leader has said of an account lately."""
+
+    # Whether even a surge would stay within its allowance.
+    is_calm: bool = False
+    is_near_limit: bool = True
+
+
 class QuotaFallback:
     """Admits requests at this entry's part of a small share of the limits.
 
     Accounts that are calm, so that even a surge stays within their allowance,
     are admitted up to their rate. Of the others, all entries together admit
-    ``FALLBACK_PLACES`` at once, and ``FALLBACK_SHARE`` of the rate.
+    some requests at once, and ``FALLBACK_SHARE`` of the rate.
     ``now`` is in monotonic seconds.
     """
 
@@ -55,16 +65,16 @@
         account: ClientAccount,
         entries: int,
         now: float,
-        *,
-        is_calm: bool,
+        state: AccountState,
     ) -> float:
         """Return the seconds to wait; 0 if the request is admitted.
 
         ``entries`` share the limit; 0 if the number is unknown.
         """
-        if is_calm:
+        if state.is_calm:
             return self._admit_calm(account, now)
-        if entries and self._draw(account.name, entries, now):
+        places = get_fallback_places(account, is_near_limit=state.is_near_limit)
+        if entries and self._draw(account.name, places / entries, now):
             return 0
         request = PermitRequest(
             scope='', priority=0, needed=1, choices=[[account.name]]
@@ -89,9 +99,9 @@
             return 0
         return (1 - bucket.level) / account.rate_per_s
 
-    def _draw(self, name: str, entries: int, now: float) -> bool:
+    def _draw(self, name: str, chance: float, now: float) -> bool:
         drawn_at = self._drawn_at.get(name, float('-inf'))
         if now - drawn_at < _REDRAW_S:
             return False
         self._drawn_at[name] = now
-        return self._generator.random() * entries < FALLBACK_PLACES
+        return self._generator.random() < chance
--- a/shallotgate/account_limits/_ledger.py
+++ b/shallotgate/account_limits/_ledger.py
@@ -2,17 +2,20 @@
 
 from dataclasses import dataclass
 
+from shallotgate.account_limits._demand import DemandEstimate
 from shallotgate.account_limits._limits import (
     FALLBACK_SHARE,
     INITIAL_PLACES,
     LEASE_MARGIN_S,
     LEASE_S,
     LEASED_SHARE,
+    MIN_ACTIVE_PER_S,
     MIN_LEASED_PER_S,
     PLACE_LIFETIME_S,
     WINDOW_S,
     get_capacity,
     is_calm,
+    is_near_limit,
 )
 from shallotgate.account_limits._line import RetryLine
 from shallotgate.extras import SlidingWindowCounter
@@ -28,6 +31,11 @@
 _WANT_S = 2.0
 # Part of the saved places that is left to requests that wait.
 _KEPT_SHARE = 0.5
+# An entry that receives this part of the requests of an account gets a lease
+# however few there are: it can be the only one, so nothing is left unused.
+_DOMINANT_SHARE = 0.5
+# Time constant of the usual demand, in seconds: longer than a surge.
+_USUAL_S = 15.0
 # Least time over which the usage is measured, in seconds.
 _MIN_MEASURED_S = 1.0
 
@@ -49,7 +57,10 @@
         self._account = account
         self._since = leading_since
         self._leases: dict[str, _Lease] = {}
+        # Places that entries keep for later requests, and their expiry.
+        self._kept: dict[str, tuple[int, float]] = {}
         self._received = SlidingWindowCounter(WINDOW_S)
+        self._usual = DemandEstimate(_USUAL_S)
         self._line = RetryLine()
         # Rate at which the bucket fills.
         self._open_per_s = account.rate_per_s
@@ -72,7 +83,14 @@
     def is_calm(self, now: float) -> bool:
         """Return whether even a surge would stay within the allowance."""
         self._received.advance_to(now)
-        return is_calm(self._account, self._received.requests)
+        return is_calm(
+            self._account, self._usual.read(now), self._received.requests
+        )
+
+    def is_near_limit(self, now: float) -> bool:
+        """Return whether the account is near its limit or above it."""
+        self._received.advance_to(now)
+        return is_near_limit(self._account, self._received.requests)
 
     def get_usage(self, now: float) -> float:
         """Return the demand as a part of the limit."""
@@ -102,11 +120,20 @@
         self._open_per_s = max(
             account.rate_per_s - self.leased_per_s - silent_per_s, 0
         )
-        self._bucket.set_rate(self._open_per_s, get_capacity(account))
+        # Kept places count as saved: they may all be used at the moment at
+        # which the bucket is full.
+        self._kept = {
+            entry: kept for entry, kept in self._kept.items() if kept[1] > now
+        }
+        kept_count = sum(count for count, _ in self._kept.values())
+        capacity = max(get_capacity(account) - kept_count, 0)
+        self._bucket.set_rate(self._open_per_s, capacity)
 
     def record(self, request: ShareRequest, now: float) -> None:
         """Record what an entry has received and returned."""
-        self._received.add(now, requests=max(request.received, 0))
+        received = max(request.received, 0)
+        self._received.add(now, requests=received)
+        self._usual.add(now, received)
         returned = max(request.returned, 0)
         bucket = self._bucket
         bucket.level = min(bucket.level + returned, bucket.capacity)
@@ -121,19 +148,19 @@
             lease for name, lease in self._leases.items() if name != entry
         ]
         wanted = request.demand_per_s * _LEASE_FACTOR
-        if request.demand_per_s < MIN_LEASED_PER_S:
+        if not self._is_leasable(request):
             wanted = 0
         leasable = self._account.rate_per_s * LEASED_SHARE
         total = wanted + sum(lease.wanted for lease in others)
         fair = wanted * min(leasable / total, 1) if total else 0
         free = leasable - sum(lease.reserved for lease in others)
         rate = max(min(fair, free), 0)
-        if rate * PLACE_LIFETIME_S < 1:
-            rate = 0
         self._reserve(entry, _Lease(wanted, rate, now), request)
         return rate
 
-    def grant(self, request: ShareRequest, now: float) -> ShareGrant:
+    def grant(
+        self, entry: str, request: ShareRequest, now: float
+    ) -> ShareGrant:
         """Return places for the requests that wait, and for later ones.
 
         Later ones get none from the part of the bucket that is kept for
@@ -145,8 +172,13 @@
         if places < request.waiting and self._open_per_s:
             spacing_s = 1 / self._open_per_s
             wait_s = self._book(request.waiting - places, spacing_s, now)
-        kept = self._bucket.capacity * _KEPT_SHARE
-        places += self._take(request.prefetch, kept)
+        kept = get_capacity(self._account) * _KEPT_SHARE
+        prefetched = self._take(request.prefetch, kept)
+        places += prefetched
+        self._kept[entry] = (
+            max(request.places, 0) + prefetched,
+            now + PLACE_LIFETIME_S,
+        )
         return ShareGrant(
             places=places,
             wait_s=wait_s,
@@ -155,6 +187,12 @@
             decided=bool(self._open_per_s) or places >= request.waiting,
         )
 
+    def _is_leasable(self, request: ShareRequest) -> bool:
+        if request.demand_per_s >= MIN_LEASED_PER_S:
+            return True
+        needed = self._received.requests / WINDOW_S * _DOMINANT_SHARE
+        return request.demand_per_s > max(needed, MIN_ACTIVE_PER_S)
+
     def _reserve(
         self, entry: str, lease: _Lease, request: ShareRequest
     ) -> None:
--- a/shallotgate/account_limits/_limits.py
+++ b/shallotgate/account_limits/_limits.py
@@ -6,11 +6,11 @@
 
 - Leases add up to at most ``LEASED_SHARE`` of the rate, and what entries use
   without a leader to ``FALLBACK_SHARE``. Both together are the rate.
-- A place is used within ``PLACE_LIFETIME_S`` after the leader has counted it,
-  and a lease saves up no more than it yields in that time. That shifts at most
-  a tenth of the rate of a window into it, which is the overrun.
+- Places that entries keep count as saved by the bucket until they expire. A
+  lease saves up what it yields in ``PLACE_LIFETIME_S``, which is less than the
+  overrun of a window.
 - The slack pays for the ``EXTRA_BURST`` of the bucket, the ``INITIAL_PLACES``
-  of two new leaders, and the ``FALLBACK_PLACES``.
+  of two new leaders, and the places that entries without a leader use at once.
 """
 
 from shallotgate.routes import ClientAccount
@@ -26,7 +26,7 @@
 # their bucket holds one.
 INITIAL_PLACES = 3.0
 # Requests that all entries together may send at once without the leader.
-FALLBACK_PLACES = 8.0
+_FALLBACK_PLACES = 8.0
 # Parts of the rate that leases may take, and entries without a leader.
 LEASED_SHARE = 0.7
 FALLBACK_SHARE = 0.3
@@ -36,15 +36,23 @@
 # the rate reserved beyond it: clocks of two processes may drift.
 LEASE_S = 10.0
 LEASE_MARGIN_S = 1.0
-# Least requests a second of an account at an entry for which it gets a lease. A
-# lease of less would not save up one whole request.
-MIN_LEASED_PER_S = 2.0
+# An account is active at an entry while this many requests a second arrive: for
+# about half a second after a single one.
+MIN_ACTIVE_PER_S = 0.4
+# Least requests a second of an account at an entry for which it gets a lease
+# although others receive more. Many small leases leave a part of the limit
+# unused, as each saves up one or two requests only.
+MIN_LEASED_PER_S = 5.0
 # Rise in the requests of an account that is reckoned with. The largest seen is
 # 6.4 times.
 _SURGE = 7.0
+# Rise in the requests of an account that is surging already.
+_FURTHER_SURGE = 1.5
 # An account is taken to use at least this part of its limit, as it may begin at
 # any time.
 _MIN_USED_SHARE = 0.3
+# Part of its limit from which on an account is near it.
+_NEAR_LIMIT = 0.8
 
 
 def is_limited(account: ClientAccount) -> bool:
@@ -67,15 +75,47 @@
     return account.burst + EXTRA_BURST
 
 
-def is_calm(account: ClientAccount, received: float) -> bool:
+def get_fallback_places(
+    account: ClientAccount, *, is_near_limit: bool
+) -> float:
+    """Return the requests that all entries may send at once without a leader.
+
+    An account that was not near its limit has not used its burst, and leases
+    leave a tenth of its rate.
+
+    >>> account = ClientAccount('a', rate_per_s=10, burst=20)
+    >>> get_fallback_places(account, is_near_limit=False)
+    32.0
+    """
+    if is_near_limit:
+        return _FALLBACK_PLACES
+    return _FALLBACK_PLACES + account.burst + account.rate_per_s * 0.4
+
+
+def is_calm(
+    account: ClientAccount, usual_per_s: float, received: float
+) -> bool:
     """Return whether even a surge would stay within the allowance.
 
-    ``received`` are the requests of all entries in the last window.
+    ``usual_per_s`` are the requests a second of all entries over a longer time,
+    and ``received`` those in the last window.
 
-    >>> is_calm(ClientAccount('a', rate_per_s=1, burst=2), 3)
+    >>> is_calm(ClientAccount('a', rate_per_s=1, burst=2), 0.6, 5)
     True
-    >>> is_calm(ClientAccount('a', rate_per_s=10, burst=2), 3)
+    >>> is_calm(ClientAccount('a', rate_per_s=1, burst=2), 0.6, 20)
+    False
+    >>> is_calm(ClientAccount('a', rate_per_s=10, burst=2), 6, 30)
     False
     """
-    floor = account.rate_per_s * WINDOW_S * _MIN_USED_SHARE
-    return max(received, floor) * _SURGE <= get_allowance(account)
+    used = max(usual_per_s, account.rate_per_s * _MIN_USED_SHARE) * WINDOW_S
+    most = max(used * _SURGE, received * _FURTHER_SURGE)
+    return most <= get_allowance(account)
+
+
+def is_near_limit(account: ClientAccount, received: float) -> bool:
+    """Return whether an account is near its limit or above it.
+
+    ``received`` are the requests of all entries in the last window.
+    """
+    limit = account.rate_per_s * WINDOW_S + account.burst
+    return received >= limit * _NEAR_LIMIT
--- a/shallotgate/account_limits/_share.py
+++ b/shallotgate/account_limits/_share.py
@@ -3,15 +3,16 @@
 from collections import deque
 
 from shallotgate.account_limits._demand import DemandEstimate
-from shallotgate.account_limits._limits import LEASE_S, PLACE_LIFETIME_S
+from shallotgate.account_limits._limits import (
+    LEASE_S,
+    MIN_ACTIVE_PER_S,
+    PLACE_LIFETIME_S,
+)
 from shallotgate.account_limits._line import RetryLine
 from shallotgate.generated.messages import ShareGrant, ShareRequest
 from shallotgate.routes import ClientAccount
 from shallotgate.target_limits import TokenBucket
 
-# Places for the next requests are kept while at least this many requests a
-# second arrive: for about half a second after a single one.
-_MIN_PREFETCH_PER_S = 0.4
 # Places that are kept, as a multiple of those that are usually needed until the
 # next question.
 _PREFETCH_FACTOR = 1.5
@@ -98,7 +99,7 @@
         self._expire(now)
         is_holding = self._places or self._rate_per_s
         is_unstated = self._returned or self._is_rate_stated
-        is_active = self.demand.read(now) >= _MIN_PREFETCH_PER_S
+        is_active = self.demand.read(now) >= MIN_ACTIVE_PER_S
         return bool(is_holding or is_unstated or is_active)
 
     def make_request(self, waiting: int, now: float) -> ShareRequest:
@@ -112,6 +113,7 @@
             demand_per_s=demand,
             rate_per_s=self._rate_per_s,
             lease_s=max(self._lease_until - now, 0) if self._rate_per_s else 0,
+            places=sum(count for _, count in self._places),
             returned=self._returned,
             received=self._received,
         )
@@ -162,7 +164,7 @@
 
     def _count_missing(self, demand: float, now: float) -> int:
         """Return how many places to prefetch."""
-        if demand < _MIN_PREFETCH_PER_S:
+        if demand < MIN_ACTIVE_PER_S:
             return 0
         open_per_s = max(demand * _PREFETCH_FACTOR - self._rate_per_s, 0)
         if self._rate_per_s and not open_per_s:
@@ -180,7 +182,9 @@
             self._bucket = TokenBucket(0, 0, now)
         self._rate_per_s = per_s
         self._lease_until = until
-        self._bucket.set_rate(per_s, per_s * PLACE_LIFETIME_S)
+        # A lease of less than a request in that time is given to one entry.
+        capacity = max(per_s * PLACE_LIFETIME_S, 1) if per_s else 0
+        self._bucket.set_rate(per_s, capacity)
         if per_s:
             self._is_rate_stated = True
 
--- a/shallotgate/account_limits/_shares.py
+++ b/shallotgate/account_limits/_shares.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 
 from shallotgate.account_limits._admission import QuotaDecision
-from shallotgate.account_limits._fallback import QuotaFallback
+from shallotgate.account_limits._fallback import AccountState, QuotaFallback
 from shallotgate.account_limits._limits import (
     PLACE_LIFETIME_S,
     is_calm,
@@ -18,8 +18,9 @@
 )
 from shallotgate.routes import ClientAccount
 
-# Time after which the list of busy accounts is not relied on, in seconds.
-_BUSY_TTL_S = 60.0
+# Time after which what the leader said of accounts is not relied on, in
+# seconds.
+_LISTS_TTL_S = 60.0
 # Shares that were not used for this time are forgotten, in seconds.
 _IDLE_S = 30.0
 # Range of the factor on times to wait without the leader, so that callers do
@@ -52,9 +53,11 @@
         self._shares: dict[str, AccountShare] = {}
         self._used_at: dict[str, float] = {}
         self._fallback = QuotaFallback(generator)
-        # Accounts that are not calm, as the leader last stated them.
+        # Accounts that are not calm, and those near their limit, as the leader
+        # last stated them.
         self._busy: frozenset[str] = frozenset()
-        self._busy_at = float('-inf')
+        self._exceeding: frozenset[str] = frozenset()
+        self._listed_at = float('-inf')
 
     def set_limits(self, accounts: Sequence[ClientAccount], now: float) -> None:
         """Apply the limits of another table to what is held."""
@@ -93,7 +96,7 @@
         if share.take(now):
             return _ADMITTED
         wait_s = self._fallback.admit(
-            account, entries, now, is_calm=self._is_calm(account, now)
+            account, entries, now, self._get_state(account, now)
         )
         if wait_s:
             wait_s = min(wait_s, share.get_lease_wait_s(now))
@@ -126,9 +129,10 @@
         the leader has not decided are left out.
         """
         self._fallback.reset(now)
-        if answer.busy_known:
+        if answer.lists_known:
             self._busy = frozenset(answer.busy)
-            self._busy_at = now
+            self._exceeding = frozenset(answer.exceeding)
+            self._listed_at = now
         decisions: dict[str, list[QuotaDecision]] = {}
         for request, grant in zip(requests, answer.grants, strict=False):
             share = self._shares.get(request.account)
@@ -163,11 +167,14 @@
         self._used_at[account.name] = now
         return share
 
-    def _is_calm(self, account: ClientAccount, now: float) -> bool:
-        is_known = now - self._busy_at < _BUSY_TTL_S
-        if not is_known or account.name in self._busy:
-            return False
-        return is_calm(account, received=0)
+    def _get_state(self, account: ClientAccount, now: float) -> AccountState:
+        if now - self._listed_at >= _LISTS_TTL_S:
+            return AccountState()
+        is_busy = account.name in self._busy
+        return AccountState(
+            is_calm=not is_busy and is_calm(account, 0, 0),
+            is_near_limit=account.name in self._exceeding,
+        )
 
     def _evict_idle(self, now: float) -> None:
         for name, used_at in list(self._used_at.items()):
--- a/shallotgate/account_limits/tests/test_allocator.py
+++ b/shallotgate/account_limits/tests/test_allocator.py
@@ -135,10 +135,11 @@
 
 def test_usage_and_busy_accounts_follow_the_demand(leader):
     """Guards against free use of a large account without a leader."""
-    assert leader.allocator.list_busy(2) is None
+    assert leader.allocator.list_accounts(2) is None
     leader.ask(100, received=70)
     assert leader.ask(101, received=70).usage == 2
-    assert leader.allocator.list_busy(101) == ['a']
+    assert leader.allocator.list_accounts(101).busy == ['a']
+    assert leader.allocator.list_accounts(101).exceeding == ['a']
     assert leader.ask(110).usage == 0
 
 
--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Request path of an entry: routing, fan-out, retries and hedging."""
 
+from shallotgate.gateway._account_quotas import QuotaClient
 from shallotgate.gateway._blocklist import ContentBlocklist
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._fan_out import merge_records
@@ -7,6 +8,7 @@
 from shallotgate.gateway._gateway import Gateway
 from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._permits import PermitClient, PermitSource
+from shallotgate.gateway._quota_reporter import QuotaReporter
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantClient, RetryGrantSource
 from shallotgate.gateway._target_chooser import TargetChooser
@@ -25,6 +27,8 @@
     'GatewayOptions',
     'PermitClient',
     'PermitSource',
+    'QuotaClient',
+    'QuotaReporter',
     'ReplyMetadata',
     'RequestReporter',
     'RetryGrantClient',
--- a/shallotgate/gateway/_call.py
+++ b/shallotgate/gateway/_call.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 from shallotgate.aio import IncomingRequest, ReplyLimits
 from shallotgate.gateway._crashes import CrashEvidence, RequestContent
@@ -24,6 +25,14 @@
 _NETWORK_SHARE = 0.1
 
 
+class SentAttempts(Protocol):
+    """Attempts of a call on one service."""
+
+    @property
+    def sent_count(self) -> int:
+        """Number of attempts that ran or may have run."""
+
+
 @dataclass(frozen=True, eq=False)
 class Call:
     """A request, its route and its deadlines in monotonic seconds."""
@@ -44,6 +53,8 @@
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
     # Account of the caller; None if the table has no accounts.
     account: ClientAccount | None = None
+    # One for each service that the call was sent to.
+    dispatches: list[SentAttempts] = field(default_factory=list)
 
     @property
     def priority(self) -> int:
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -11,6 +11,7 @@
     AskContentTrial,
     AskExtras,
     AskPermits,
+    AskShares,
     ContentSurvived,
     CrashReport,
     FollowTier,
@@ -90,6 +91,7 @@
         message: ObservedReplies
         | AskExtras
         | AskPermits
+        | AskShares
         | CrashReport
         | AskContentTrial
         | ContentSurvived,
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from shallotgate.gateway._fan_out import DispatchFactory, FanOut, FanOutResult
 from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._permits import PermitSource
+from shallotgate.gateway._quota_gate import QuotaGate
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
 from shallotgate.gateway._wire import WireCodec
@@ -62,6 +63,7 @@
             permits,
         )
         self._drain = Drain()
+        self.quotas = QuotaGate()
 
     @property
     def version(self) -> int:
@@ -149,7 +151,10 @@
             self._reporter.count('refused_draining')
             return self._refuse()
         try:
-            async with self._drain.limit():
+            async with self._drain.limit(), self.quotas.hold(call) as place:
+                if place.refused_s is not None:
+                    self._reporter.count('refused_over_limit')
+                    return self._wire.refuse(429, place.refused_s)
                 return await self._serve(self._drain.shorten(call), active)
         except TimeoutError:
             call.trace.add('ended_by_drain')
@@ -195,7 +200,9 @@
         ) -> Dispatch:
             context = self._contexts.get(call.route, active.services[name])
             context.budget.record_request(now, self.entries)
-            return Dispatch(context, call, name, may_hedge)
+            dispatch = Dispatch(context, call, name, may_hedge)
+            call.dispatches.append(dispatch)
+            return dispatch
 
         return make_dispatch
 
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -25,6 +25,7 @@
     ListingPoller,
     OperatorService,
     PermitService,
+    QuotaService,
     RegistryClient,
     RegistryState,
     RetryGrantService,
@@ -127,6 +128,15 @@
             RetryGrantPool(get_retry_budget_policy(settings)),
         )
         self._permits = PermitService(self._mailbox, self._log, self._limits)
+        self._quotas = QuotaService(
+            self._mailbox,
+            self._log,
+            state,
+            codec,
+            lambda: self._followers.entry_counter.get_silent_share(
+                time.monotonic()
+            ),
+        )
         self._server = AsyncHttpServer(
             settings.operator_address,
             make_handler(OperatorService(self._client, codec)),
@@ -144,6 +154,12 @@
             'limited_targets',
             lambda: len(self._limits.list_limits(time.monotonic())),
         )
+        self._metrics.register_gauge(
+            'quota_accounts_active', self._quotas.count_active
+        )
+        self._metrics.register_gauge(
+            'quota_accounts_exceeding', self._quotas.count_exceeding
+        )
         self._metrics.register_gauge(
             'disk_suspended', lambda: int(self._log.is_suspended())
         )
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -19,6 +19,8 @@
     Gateway,
     GatewayOptions,
     PermitClient,
+    QuotaClient,
+    QuotaReporter,
     RequestReporter,
     RetryGrantClient,
     TierFollower,
@@ -30,6 +32,7 @@
     FollowTier,
     GrantExtras,
     GrantPermits,
+    GrantShares,
     TierUpdate,
 )
 from shallotgate.generated.node import NodeSettings
@@ -99,6 +102,13 @@
             permits=self._permits,
             blocklist=self._blocklist,
         )
+        self._quotas = QuotaClient(
+            lambda ask: self._follower.send_to_leader(ask),
+            lambda: self._gateway.entries,
+            generator,
+            QuotaReporter(self._metrics),
+        )
+        self._gateway.quotas.admission = self._quotas
         self._mailbox = Mailbox(
             instance=settings.peer_address,
             start_id=secrets.token_hex(_START_ID_BYTES),
@@ -106,6 +116,7 @@
         )
         self._mailbox.subscribe(GrantExtras, self._on_grant)
         self._mailbox.subscribe(GrantPermits, self._on_permits)
+        self._mailbox.subscribe(GrantShares, self._on_shares)
         self._mailbox.subscribe(BarContent, self._on_bar_content)
         self._mailbox.subscribe(ContentTrial, self._on_content_trial)
         self._follower = TierFollower(
@@ -204,6 +215,13 @@
                 delivery.message,
             )
 
+    def _on_shares(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._quotas.handle_grant,
+                delivery.message,
+            )
+
     def _on_bar_content(self, delivery: Delivery) -> None:
         if self._loop is not None:
             self._loop.call_soon_threadsafe(
@@ -242,6 +260,7 @@
         # effect.
         if table is not None:
             self._gateway.activate_table(table)
+            self._quotas.set_limits(table.accounts)
         if update.domains is not None:
             self._directory.apply_domains_out(
                 update.domains.revision,
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -1,9 +1,11 @@
 """Control-group state: routing tables, failure domains and targets."""
 
+from shallotgate.registry._account_quotas import QuotaService
 from shallotgate.registry._client import RegistryClient
 from shallotgate.registry._conditions import ConditionTracker
 from shallotgate.registry._content_bars import CrashService
 from shallotgate.registry._crashes import CrashTracker
+from shallotgate.registry._entry_counter import EntryCounter
 from shallotgate.registry._followers import FollowerService
 from shallotgate.registry._listing import ListingPoller, TargetListing
 from shallotgate.registry._operators import OperatorService, OrderResult
@@ -15,11 +17,13 @@
     'ConditionTracker',
     'CrashService',
     'CrashTracker',
+    'EntryCounter',
     'FollowerService',
     'ListingPoller',
     'OperatorService',
     'OrderResult',
     'PermitService',
+    'QuotaService',
     'RegistryClient',
     'RegistryState',
     'RetryGrantService',
--- a/shallotgate/registry/_entry_counter.py
+++ b/shallotgate/registry/_entry_counter.py
@@ -6,6 +6,11 @@
 
 # An entry is live for this time after its last request.
 _ENTRY_TTL_S = 6.0
+# An entry is silent if it has not asked for this time, in seconds. It asks
+# again within a second of the last answer.
+_SILENT_S = 2.0
+# A silent entry may still serve callers for this time, in seconds.
+_SILENT_TTL_S = 60.0
 
 
 class EntryCounter:
@@ -61,3 +66,17 @@
             if is_settled:
                 return max(live, 1)
             return max(live, self._inherited) if self._inherited else 0
+
+    def get_silent_share(self, now: float) -> float:
+        """Return the part of the entries that have not been heard from lately.
+
+        They may serve callers without this leader. 0 to 1.
+        """
+        with self._lock:
+            ages = [now - at for at in self._last_requests.values()]
+            since = self._leading_since
+            heard = sum(age < _SILENT_S for age in ages)
+            known = sum(age < _SILENT_TTL_S for age in ages)
+            if since is None or now - since < _SILENT_TTL_S:
+                known = max(known, self._inherited)
+            return 1 - heard / known if known else 0
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -73,7 +73,7 @@
         self._list_members = list_members
         self._limits = limits
         self._pending: dict[str, _PendingRequest] = {}
-        self._entry_counter = EntryCounter()
+        self.entry_counter = EntryCounter()
         self._update_tracker = UpdateTracker()
         self._sender = UpdateSender(mailbox, self._update_tracker)
         self._tables = TableDifferences()
@@ -107,7 +107,7 @@
 
     def list_entries(self) -> list[str]:
         """Return the live entries, which share the limits of the targets."""
-        return self._entry_counter.list_live(time.monotonic())
+        return self.entry_counter.list_live(time.monotonic())
 
     def count_behind(self) -> int:
         """Return the number of live entries without the newest table."""
@@ -120,7 +120,7 @@
         self._update_tracker.record_request(
             delivery.sender, delivery.message.table_version, now
         )
-        self._entry_counter.record_request(
+        self.entry_counter.record_request(
             delivery.sender, delivery.message, now
         )
         with self._changed:
@@ -140,7 +140,7 @@
         self._conditions.record_replies(observed, now)
 
     def _on_leadership(self, is_leading: bool) -> None:
-        self._entry_counter.set_leading(is_leading, time.monotonic())
+        self.entry_counter.set_leading(is_leading, time.monotonic())
         self._notify_change()
 
     def _notify_change(self) -> None:
@@ -234,7 +234,7 @@
         return TierUpdate(
             status='current',
             members=self._list_members(),
-            entries=self._entry_counter.count(time.monotonic()),
+            entries=self.entry_counter.count(time.monotonic()),
             table=self._tables.make_update(registry, message.table_version),
             domains=domains,
             listing=self._listing.make_update(
