--- a/shallotgate/account_limits/_allocator.py
+++ b/shallotgate/account_limits/_allocator.py
@@ -93,15 +93,18 @@
             if ledger is None:
                 ledger = AccountLedger(account, since)
                 self._ledgers[account.name] = ledger
+            is_settled = now - since >= _SETTLE_S
+            if not is_settled:
+                # All entries still use their own part.
+                silent_share = 1
             ledger.advance(account, silent_share, now)
             ledger.record(request, now)
-            rate = ledger.lease(entry, request, now)
+            rate = ledger.lease(entry, request, now, is_settled=is_settled)
             # The lease has changed the rate of the bucket.
             ledger.advance(account, silent_share, now)
             grant = ledger.grant(entry, request, now)
             is_refused = grant.places < request.waiting
             self._refusals.record(ledger, is_refused=is_refused, now=now)
-            is_settled = now - since >= _SETTLE_S
             return replace(
                 grant,
                 rate_per_s=rate,
--- a/shallotgate/account_limits/_fallback.py
+++ b/shallotgate/account_limits/_fallback.py
@@ -26,6 +26,10 @@
     # Whether even a surge would stay within its allowance.
     is_calm: bool = False
     is_near_limit: bool = True
+    # Part of its limit that was not leased to entries.
+    open_share: float = 0
+    # Monotonic time since which this entry has had no leader.
+    alone_since: float | None = None
 
 
 class QuotaFallback:
@@ -33,7 +37,7 @@
 
     Accounts that are calm, so that even a surge stays within their allowance,
     are admitted up to their rate. Of the others, all entries together admit
-    some requests at once, and ``FALLBACK_SHARE`` of the rate.
+    some requests at once, and the part of the rate that was not leased.
     ``now`` is in monotonic seconds.
     """
 
@@ -79,8 +83,11 @@
         request = PermitRequest(
             scope='', priority=0, needed=1, choices=[[account.name]]
         )
-        limits = {account.name: account.rate_per_s}
-        granted = self._even.grant(request, limits, entries, now)
+        factor = max(state.open_share / FALLBACK_SHARE, 1)
+        limits = {account.name: account.rate_per_s * factor}
+        granted = self._even.grant(
+            request, limits, entries, now, state.alone_since
+        )
         if granted[0] != DENIED:
             return 0
         wait_s = self._even.get_wait_s(account.name, now)
--- a/shallotgate/account_limits/_ledger.py
+++ b/shallotgate/account_limits/_ledger.py
@@ -6,6 +6,7 @@
 from shallotgate.account_limits._limits import (
     FALLBACK_SHARE,
     INITIAL_PLACES,
+    LEASE_FACTOR,
     LEASE_MARGIN_S,
     LEASE_S,
     LEASED_SHARE,
@@ -23,9 +24,6 @@
 from shallotgate.routes import ClientAccount
 from shallotgate.target_limits import TokenBucket
 
-# A lease is larger than the demand by this factor, so that chance does not
-# empty it.
-_LEASE_FACTOR = 1.25
 # Time for which the wish of an entry without a lease counts, in seconds: longer
 # than its interval between two questions.
 _WANT_S = 2.0
@@ -83,9 +81,8 @@
     def is_calm(self, now: float) -> bool:
         """Return whether even a surge would stay within the allowance."""
         self._received.advance_to(now)
-        return is_calm(
-            self._account, self._usual.read(now), self._received.requests
-        )
+        usual_per_s = self._usual.read_since(self._since, now)
+        return is_calm(self._account, usual_per_s, self._received.requests)
 
     def is_near_limit(self, now: float) -> bool:
         """Return whether the account is near its limit or above it."""
@@ -116,10 +113,11 @@
             for entry, lease in self._leases.items()
             if lease.expires_at > now
         }
-        silent_per_s = silent_share * FALLBACK_SHARE * account.rate_per_s
-        self._open_per_s = max(
-            account.rate_per_s - self.leased_per_s - silent_per_s, 0
+        unleased = account.rate_per_s - self.leased_per_s
+        silent_per_s = (
+            silent_share * self._get_open_share() * account.rate_per_s
         )
+        self._open_per_s = max(unleased - silent_per_s, 0)
         # Kept places count as saved: they may all be used at the moment at
         # which the bucket is full.
         self._kept = {
@@ -138,16 +136,23 @@
         bucket = self._bucket
         bucket.level = min(bucket.level + returned, bucket.capacity)
 
-    def lease(self, entry: str, request: ShareRequest, now: float) -> float:
+    def lease(
+        self,
+        entry: str,
+        request: ShareRequest,
+        now: float,
+        *,
+        is_settled: bool,
+    ) -> float:
         """Return the rate that an entry may use from now on.
 
         It is its part of the demand of all entries, as far as others have given
-        up theirs.
+        up theirs. A leader that does not know yet what others hold only renews.
         """
         others = [
             lease for name, lease in self._leases.items() if name != entry
         ]
-        wanted = request.demand_per_s * _LEASE_FACTOR
+        wanted = request.demand_per_s * LEASE_FACTOR
         if not self._is_leasable(request):
             wanted = 0
         leasable = self._account.rate_per_s * LEASED_SHARE
@@ -155,6 +160,8 @@
         fair = wanted * min(leasable / total, 1) if total else 0
         free = leasable - sum(lease.reserved for lease in others)
         rate = max(min(fair, free), 0)
+        if not is_settled:
+            rate = min(rate, request.rate_per_s)
         self._reserve(entry, _Lease(wanted, rate, now), request)
         return rate
 
@@ -184,9 +191,15 @@
             wait_s=wait_s,
             spacing_s=spacing_s,
             usage=self.get_usage(now),
+            open_share=self._get_open_share(),
             decided=bool(self._open_per_s) or places >= request.waiting,
         )
 
+    def _get_open_share(self) -> float:
+        """Return the part of the limit that entries use without a leader."""
+        leased_share = self.leased_per_s / self._account.rate_per_s
+        return max(1 - leased_share, FALLBACK_SHARE)
+
     def _is_leasable(self, request: ShareRequest) -> bool:
         if request.demand_per_s >= MIN_LEASED_PER_S:
             return True
--- a/shallotgate/account_limits/_limits.py
+++ b/shallotgate/account_limits/_limits.py
@@ -4,8 +4,9 @@
 window + burst) + ``_SLACK`` requests. It is divided so that it holds whoever
 leads and whoever is out of touch:
 
-- Leases add up to at most ``LEASED_SHARE`` of the rate, and what entries use
-  without a leader to ``FALLBACK_SHARE``. Both together are the rate.
+- Leases add up to at most ``LEASED_SHARE`` of the rate. Entries without a
+  leader use together what is not leased, or ``FALLBACK_SHARE`` if they don't
+  know it. A leader reserves that for entries that it doesn't hear from.
 - Places that entries keep count as saved by the bucket until they expire. A
   lease saves up what it yields in ``PLACE_LIFETIME_S``, which is less than the
   overrun of a window.
@@ -25,8 +26,12 @@
 # Places at the start of a leadership. Small accounts would be refused until
 # their bucket holds one.
 INITIAL_PLACES = 3.0
-# Requests that all entries together may send at once without the leader.
-_FALLBACK_PLACES = 8.0
+# Requests that all entries together may send at once without the leader, of an
+# account that is near its limit or unknown, and of others.
+_FALLBACK_PLACES_NEAR_LIMIT = 8.0
+_FALLBACK_PLACES = 14.0
+# The same, as a part of the rate.
+_FALLBACK_RATE_S = 0.4
 # Parts of the rate that leases may take, and entries without a leader.
 LEASED_SHARE = 0.7
 FALLBACK_SHARE = 0.3
@@ -39,6 +44,9 @@
 # An account is active at an entry while this many requests a second arrive: for
 # about half a second after a single one.
 MIN_ACTIVE_PER_S = 0.4
+# A lease is larger than the demand by this factor, so that chance does not
+# empty it.
+LEASE_FACTOR = 1.25
 # Least requests a second of an account at an entry for which it gets a lease
 # although others receive more. Many small leases leave a part of the limit
 # unused, as each saves up one or two requests only.
@@ -80,16 +88,17 @@
 ) -> float:
     """Return the requests that all entries may send at once without a leader.
 
-    An account that was not near its limit has not used its burst, and leases
-    leave a tenth of its rate.
+    An account that was not near its limit has not used its burst, nor the
+    overrun of a window.
 
     >>> account = ClientAccount('a', rate_per_s=10, burst=20)
     >>> get_fallback_places(account, is_near_limit=False)
-    32.0
+    38.0
     """
     if is_near_limit:
-        return _FALLBACK_PLACES
-    return _FALLBACK_PLACES + account.burst + account.rate_per_s * 0.4
+        return _FALLBACK_PLACES_NEAR_LIMIT
+    unused = account.burst + account.rate_per_s * _FALLBACK_RATE_S
+    return _FALLBACK_PLACES + unused
 
 
 def is_calm(
--- a/shallotgate/account_limits/_share.py
+++ b/shallotgate/account_limits/_share.py
@@ -2,8 +2,9 @@
 
 from collections import deque
 
-from shallotgate.account_limits._demand import DemandEstimate
+from shallotgate.account_limits._demand import EntryDemand
 from shallotgate.account_limits._limits import (
+    LEASE_FACTOR,
     LEASE_S,
     MIN_ACTIVE_PER_S,
     PLACE_LIFETIME_S,
@@ -21,8 +22,10 @@
 # Longest time for which an answer without room applies to further requests, in
 # seconds. It bounds the questions; others may return what they do not need.
 _MAX_REFUSED_S = 0.1
-# The usage is taken as unknown after this time, in seconds.
+# The usage is taken as unknown after this time, in seconds, and the part that
+# is not leased.
 _USAGE_TTL_S = 10.0
+_OPEN_SHARE_TTL_S = 60.0
 
 
 class AccountShare:
@@ -34,12 +37,15 @@
 
     def __init__(self, account: ClientAccount, now: float) -> None:
         self.account = account
-        self.demand = DemandEstimate()
+        self.demand = EntryDemand()
         self._rate_per_s: float = 0
         self._lease_until = float('-inf')
         self._bucket = TokenBucket(0, 0, now)
         # Expiry and number of the places, the oldest first.
         self._places: deque[tuple[float, int]] = deque()
+        # What the lease yielded beyond what it saves up, in requests.
+        self._overflow: float = 0
+        self._advanced_at = now
         # Not stated yet: places that no target used, and requests.
         self._returned = 0
         self._received = 0
@@ -48,6 +54,7 @@
         self._refused_until = float('-inf')
         self.line = RetryLine()
         self._usage: float = 0
+        self._open_share: float = 0
         self._usage_at = float('-inf')
 
     def count(self, now: float) -> None:
@@ -94,6 +101,11 @@
         """Return the usage that the leader stated lately; 0 if none."""
         return self._usage if now - self._usage_at < _USAGE_TTL_S else 0
 
+    def read_open_share(self, now: float) -> float:
+        """Return the part of the limit that was not leased; 0 if unknown."""
+        is_known = now - self._usage_at < _OPEN_SHARE_TTL_S
+        return self._open_share if is_known else 0
+
     def needs_renewal(self, now: float) -> bool:
         """Return whether anything is to be stated, kept or given up."""
         self._expire(now)
@@ -106,6 +118,11 @@
         """Return what to ask the leader."""
         self._expire(now)
         demand = self.demand.read(now)
+        # Given up at once, so that the leader can grant it to others.
+        kept_per_s = min(self._rate_per_s, demand * LEASE_FACTOR)
+        self._set_rate(kept_per_s, self._lease_until, now)
+        unused = int(self._overflow)
+        self._overflow -= unused
         request = ShareRequest(
             account=self.account.name,
             waiting=waiting,
@@ -114,7 +131,7 @@
             rate_per_s=self._rate_per_s,
             lease_s=max(self._lease_until - now, 0) if self._rate_per_s else 0,
             places=sum(count for _, count in self._places),
-            returned=self._returned,
+            returned=self._returned + unused,
             received=self._received,
         )
         # Not stated again if no answer comes: the leader may have counted it.
@@ -133,6 +150,7 @@
         """
         self._expire(now)
         self._usage = grant.usage
+        self._open_share = grant.open_share
         self._usage_at = now
         self._set_rate(grant.rate_per_s, asked_at + LEASE_S, now)
         expires_at = asked_at + PLACE_LIFETIME_S
@@ -194,4 +212,16 @@
         if self._rate_per_s and now >= self._lease_until:
             self._rate_per_s = 0
             self._bucket.set_rate(0, 0)
-        self._bucket.advance_to(now)
+        self._advance_lease(now)
+
+    def _advance_lease(self, now: float) -> None:
+        """Add what the lease has yielded; the rest is left to other entries."""
+        elapsed_s = now - self._advanced_at
+        self._advanced_at = now
+        bucket = self._bucket
+        yielded = bucket.level + elapsed_s * self._rate_per_s - bucket.capacity
+        # More than a second of it would not help: the leader saves little.
+        self._overflow = min(
+            self._overflow + max(yielded, 0), max(self._rate_per_s, 1)
+        )
+        bucket.advance_to(now)
--- a/shallotgate/account_limits/_shares.py
+++ b/shallotgate/account_limits/_shares.py
@@ -58,6 +58,8 @@
         self._busy: frozenset[str] = frozenset()
         self._exceeding: frozenset[str] = frozenset()
         self._listed_at = float('-inf')
+        # Time since which the leader has not decided; None if it has.
+        self._alone_since: float | None = None
 
     def set_limits(self, accounts: Sequence[ClientAccount], now: float) -> None:
         """Apply the limits of another table to what is held."""
@@ -93,10 +95,12 @@
         ``entries`` share the limit; 0 if the number is unknown.
         """
         share = self._get(account, now)
+        if self._alone_since is None:
+            self._alone_since = now
         if share.take(now):
             return _ADMITTED
         wait_s = self._fallback.admit(
-            account, entries, now, self._get_state(account, now)
+            account, entries, now, self._get_state(share, now)
         )
         if wait_s:
             wait_s = min(wait_s, share.get_lease_wait_s(now))
@@ -128,7 +132,9 @@
         Returns the decisions on the waiting requests by account; those on which
         the leader has not decided are left out.
         """
-        self._fallback.reset(now)
+        if all(grant.decided for grant in answer.grants):
+            self._alone_since = None
+            self._fallback.reset(now)
         if answer.lists_known:
             self._busy = frozenset(answer.busy)
             self._exceeding = frozenset(answer.exceeding)
@@ -167,13 +173,19 @@
         self._used_at[account.name] = now
         return share
 
-    def _get_state(self, account: ClientAccount, now: float) -> AccountState:
+    def _get_state(self, share: AccountShare, now: float) -> AccountState:
+        account = share.account
+        open_share = share.read_open_share(now)
         if now - self._listed_at >= _LISTS_TTL_S:
-            return AccountState()
+            return AccountState(
+                open_share=open_share, alone_since=self._alone_since
+            )
         is_busy = account.name in self._busy
         return AccountState(
             is_calm=not is_busy and is_calm(account, 0, 0),
             is_near_limit=account.name in self._exceeding,
+            open_share=open_share,
+            alone_since=self._alone_since,
         )
 
     def _evict_idle(self, now: float) -> None:
--- a/shallotgate/registry/tests/test_entry_counter.py
+++ b/shallotgate/registry/tests/test_entry_counter.py
@@ -63,3 +63,24 @@
     counter.set_leading(True, 30)
     ask(counter, 'e-1', 30)
     assert counter.count(30) == 0
+
+
+def test_silent_share_counts_entries_that_stopped_asking(counter):
+    """Guards against granting what cut off entries still use."""
+    for number in range(10):
+        ask(counter, f'e-{number}', 100)
+    assert counter.get_silent_share(101) == 0
+    for number in range(7):
+        ask(counter, f'e-{number}', 103)
+    assert counter.get_silent_share(103) == pytest.approx(0.3)
+    ask(counter, 'e-9', 103, leaving=True)
+    assert counter.get_silent_share(103) == pytest.approx(2 / 9)
+    for number in range(7):
+        ask(counter, f'e-{number}', 170)
+    assert counter.get_silent_share(170) == 0
+
+
+def test_new_leader_takes_unheard_entries_for_silent(counter):
+    """Guards against a leader that grants the parts of all others."""
+    ask(counter, 'e-1', 0.1, entries=10)
+    assert counter.get_silent_share(0.1) == pytest.approx(0.9)
--- a/shallotgate/target_limits/_fallback.py
+++ b/shallotgate/target_limits/_fallback.py
@@ -35,9 +35,12 @@
         limits: Mapping[str, float],
         entries: int,
         now: float,
+        since: float | None = None,
     ) -> list[int]:
         """Return the position of the granted target of each choice.
 
+        ``since`` is when the leader was lost, if that is known: what has become
+        due since then may be used. Otherwise it is the first use of a target.
         ``entries`` share the limits; if the number is unknown, which is given
         as 0, nothing is granted. Requests that do not need a target get none.
         """
@@ -50,7 +53,8 @@
             for target in choice
         }
         positions = [
-            self._find_due(choice, intervals, now) for choice in request.choices
+            self._find_due(choice, intervals, now, since)
+            for choice in request.choices
         ]
         due = [
             index
@@ -75,11 +79,14 @@
         choice: Sequence[str],
         intervals: Mapping[str, float],
         now: float,
+        since: float | None,
     ) -> int:
         for position, target in enumerate(choice):
             due_at = self._next_at.get(target)
             if due_at is None:
-                due_at = now + intervals[target] * self._generator.random()
+                started_at = now if since is None else since
+                phase = self._generator.random()
+                due_at = started_at + intervals[target] * phase
                 self._next_at[target] = due_at
             if due_at <= now:
                 return position
