--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -16,6 +16,7 @@
     AskContentTrial,
     AskExtras,
     AskPermits,
+    AskShares,
     ContentSurvived,
     CrashReport,
     FollowTier,
@@ -96,6 +97,7 @@
         message: ObservedReplies
         | AskExtras
         | AskPermits
+        | AskShares
         | CrashReport
         | AskContentTrial
         | ContentSurvived,
