--- a/shallotgate/registry/tests/test_table_differences.py
+++ b/shallotgate/registry/tests/test_table_differences.py
@@ -25,51 +25,51 @@
     generator = random.Random(seed)
     names = [make_name(generator) for _ in range(services)]
     return {
-        'Version': 1,
-        'Tenants': [
+        'version': 1,
+        'accounts': [
             {
-                'Name': f'account-{number}',
-                'ApiKeys': [
+                'name': f'account-{number}',
+                'keys': [
                     f'{generator.getrandbits(128):032x}'
                     for _ in range(generator.randint(1, 3))
                 ],
-                'RatePerS': generator.randint(1, 40),
+                'rate': generator.randint(1, 40),
             }
             for number in range(accounts)
         ],
-        'Routes': [
+        'routes': [
             {
-                'Name': make_name(generator),
-                'Hostname': 'a.example',
-                'PathPrefix': f'/{number}/',
-                'TimeoutMs': 400,
-                'Gather': generator.sample(names, generator.randint(36, 54)),
+                'name': make_name(generator),
+                'host': 'a.example',
+                'prefix': f'/{number}/',
+                'timeout_ms': 400,
+                'shards': generator.sample(names, generator.randint(36, 54)),
             }
             for number in range(routes)
         ],
-        'Services': [{'Name': name, 'MaxConnections': 71} for name in names],
+        'services': [{'name': name, 'max_connections': 71} for name in names],
     }
 
 
 def change_key(table, place):
-    table['Tenants'][place]['ApiKeys'] = ['0123456789abcdef' * 2]
+    table['accounts'][place]['keys'] = ['0123456789abcdef' * 2]
 
 
 def change_route(table, place):
-    table['Routes'][place]['Gather'][7] = 'another'
+    table['routes'][place]['shards'][7] = 'another'
 
 
 def add_account(table, place):
-    account = {'Name': 'one more', 'ApiKeys': ['fedcba9876543210' * 2]}
-    table['Tenants'].insert(place, account)
+    account = {'name': 'one more', 'keys': ['fedcba9876543210' * 2]}
+    table['accounts'].insert(place, account)
 
 
 def remove_account(table, place):
-    table['Tenants'].pop(place)
+    table['accounts'].pop(place)
 
 
 def move_route(table, place):
-    table['Routes'].append(table['Routes'].pop(place))
+    table['routes'].append(table['routes'].pop(place))
 
 
 def change_all_ends(table, place):
@@ -127,7 +127,7 @@
     zlib finds repetitions within 32 KB only, and the table has 900 KB.
     """
     table = copy.deepcopy(TABLE)
-    table['Version'] = 2
+    table['version'] = 2
     change(table, place)
     before, after = encode(TABLE, **style), encode(table, **style)
     assert len(before) > 500_000
@@ -139,7 +139,7 @@
 
 def test_entry_of_the_previous_build_gets_what_it_can_read():
     """Guards against deltas that an entry can't apply during an update."""
-    after = encode({**TABLE, 'Version': 2})
+    after = encode({**TABLE, 'version': 2})
     update = make_delta(encode(TABLE), after, merges=False)
     assert update.difference is None
     unpacker = zlib.decompressobj(zdict=encode(TABLE))
@@ -152,7 +152,7 @@
     tables = TableDifferences()
     first = make_registry(encode(TABLE), 1)
     assert tables.make_update(first, 1, merges=merges) is None
-    second = make_registry(encode({**TABLE, 'Version': 2}), 2)
+    second = make_registry(encode({**TABLE, 'version': 2}), 2)
     assert tables.make_update(second, 1, merges=merges).base_version == 1
     assert tables.make_update(second, 2, merges=merges) is None
 
@@ -175,7 +175,7 @@
     """Guards against a leader that compresses the table for each entry."""
     tables = TableDifferences()
     tables.make_update(make_registry(encode(TABLE), 1), 1, merges=False)
-    second = make_registry(encode({**TABLE, 'Version': 2}), 2)
+    second = make_registry(encode({**TABLE, 'version': 2}), 2)
     updates = {
         id(tables.make_update(second, 1, merges=merges))
         for merges in (True, False, True, False)
