--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -23,6 +23,9 @@
 _MAX_PAUSE_S = 3600.0
 # Lower bound for the median in slowness ratios, in milliseconds.
 _MIN_MEDIAN_MS = 0.1
+# Greatest factor that a reported speed explains to the leader. A target is as
+# slow as this for moments, which end before other entries could avoid it.
+_MAX_EXPLAINED_FACTOR = 2.5
 
 
 @dataclass(eq=False)
@@ -50,8 +53,14 @@
     def record_reply(self, duration_ms: float, median_ms: float) -> None:
         """Record the duration of a reply relative to the median."""
         slowness = duration_ms / max(median_ms, _MIN_MEDIAN_MS)
-        self.health.record_reply(slowness)
-        self.reply_stats.add_reply(self.listed.target, slowness)
+        explained: float = 1
+        if self.health.speed.is_reported:
+            explained = self.health.speed.estimate_factor(time.monotonic())
+        self.health.record_reply(slowness / explained)
+        self.reply_stats.add_reply(
+            self.listed.target,
+            slowness / min(explained, _MAX_EXPLAINED_FACTOR),
+        )
 
     def record_failure(self) -> None:
         """Record a failed or rejected request."""
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -14,6 +14,7 @@
 from shallotgate.gateway._directory import Target
 from shallotgate.gateway._dispatch_contexts import DispatchContext
 from shallotgate.gateway._extra_permit import ExtraPermit
+from shallotgate.gateway._hedge_timing import HEDGE_MIN_MS, HedgeTiming
 from shallotgate.gateway._send_permit import SendPermit
 from shallotgate.gateway._target_selection import TargetSelection
 from shallotgate.gateway._wakeup import Wakeup
@@ -22,14 +23,6 @@
 # Maximum attempts of one request on one service, including those that never
 # ran: failed connections and attempts that a target rejected.
 _MAX_SENDS = 4
-# The hedge delay is this quantile of recent replies, multiplied by the factor
-# below.
-_HEDGE_QUANTILE = 0.9
-_HEDGE_FACTOR = 1.3
-# Upper bound of the hedge delay, in medians of recent replies. If a tenth of
-# the targets or more are slow, the quantile above is the duration of a slow
-# reply.
-_HEDGE_MEDIANS = 2.2
 # A request suspected of crashing targets is held for this many medians: most
 # targets that process it have answered by then.
 _HOLD_MEDIANS = 2.0
@@ -39,8 +32,6 @@
 # A connection is waited for at least this multiple of the usual time to set one
 # up, before the attempt is replaced.
 _CONNECT_PATIENCE = 4.0
-# Minimum hedge delay in milliseconds: the resolution of timers.
-_HEDGE_MIN_MS = 3.0
 
 
 @dataclass(frozen=True)
@@ -69,6 +60,7 @@
         self._call = call
         self._service = service
         self._live: dict[asyncio.Future[Reply], Attempt] = {}
+        self._timing = HedgeTiming(context, call.route.objective_ms)
         # Completed attempts that are not processed yet.
         self._settled: list[asyncio.Future[Reply]] = []
         self._wakeup = Wakeup()
@@ -160,7 +152,7 @@
             median_s = self._context.latency.quantile(0.5) / _MS_PER_S
             self._held_until = now + median_s * _HOLD_MEDIANS
         if is_suspicious and now < self._held_until:
-            self._hedge_at = now + _HEDGE_MIN_MS / _MS_PER_S
+            self._hedge_at = now + HEDGE_MIN_MS / _MS_PER_S
             return
         self._held_until = 0
         if is_suspicious:
@@ -208,10 +200,15 @@
             and not self._may_hedge()
         ):
             # Check again after a short delay.
-            self._hedge_at = now + _HEDGE_MIN_MS / _MS_PER_S
+            self._hedge_at = now + HEDGE_MIN_MS / _MS_PER_S
             return
         self._hedge_at = float('inf')
-        if is_repeatable:
+        if not is_repeatable:
+            return
+        wait_s = self._timing.get_wait_s(self.selection.find_replacement, now)
+        if wait_s:
+            self._hedge_at = now + wait_s
+        else:
             self._try_send()
 
     def _replace_unsent(self, other: Target, now: float) -> None:
@@ -227,6 +224,7 @@
                 self._hedge_at = patient_until
                 return
             self._live.pop(future)
+            self._timing.remove(attempt.target)
             future.remove_done_callback(self._handle_settled)
             attempt.stop_connecting()
             self._runs -= 1
@@ -257,6 +255,7 @@
         context = self._context
         now = time.monotonic()
         queue = target.health.estimate_queue(now)
+        wait_s = self._timing.plan(target, now)
         attempt = Attempt(
             context.wire,
             self._call,
@@ -279,18 +278,13 @@
             factor=target.health.estimate_condition(now)[0],
         )
         context.on_event('sent' if self._sends == 1 else 'sent_again')
-        latency = context.latency
-        wait_ms = min(
-            latency.quantile(_HEDGE_QUANTILE) * _HEDGE_FACTOR,
-            latency.quantile(0.5) * _HEDGE_MEDIANS,
-        )
-        wait_ms = max(wait_ms, _HEDGE_MIN_MS)
-        self._hedge_at = now + wait_ms / _MS_PER_S
-        self._hedge_forced_at = now + wait_ms / _MS_PER_S * _FORCED_HEDGE_FACTOR
+        self._hedge_at = now + wait_s
+        self._hedge_forced_at = now + wait_s * _FORCED_HEDGE_FACTOR
 
     def _process(self, future: 'asyncio.Future[Reply]') -> Outcome | None:
         """Process a completed attempt; return the outcome if it is final."""
         attempt = self._live.pop(future)
+        self._timing.remove(attempt.target)
         target = attempt.target.listed.target
         error = future.exception()
         if error is not None:
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -10,16 +10,24 @@
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
+from shallotgate.gateway._pauses import PauseEstimate
 from shallotgate.gateway._permits import PermitSource
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
-from shallotgate.gateway._target_chooser import Pace, TargetChooser
+from shallotgate.gateway._target_chooser import (
+    Pace,
+    TargetChooser,
+    estimate_duration_ms,
+)
 from shallotgate.gateway._warm_up import WarmUpLimiter
 from shallotgate.gateway._wire import WireCodec
 from shallotgate.routes import Route, RoutingTable, Service
 
 # Part of a target's connection limit that all entries together use.
 _CONNECTIONS_SHARE = 0.8
+# Delay, in medians of the route, from which a reply has met a pause of its
+# target and not just the usual variance.
+_PAUSE_MEDIANS = 1.0
 # Initial estimate of the reply duration, as a share of the objective. The first
 # replies of an entry also include connection setup.
 _INITIAL_LATENCY_SHARE = 0.25
@@ -51,6 +59,8 @@
     permits: PermitSource
     # Durations of recent replies to the route.
     latency: LatencyWindow
+    # Pauses that replies to the route have shown.
+    pauses: PauseEstimate
     # Failure domain of this entry.
     domain: str
     # Maximum connections of this entry to one target.
@@ -75,7 +85,7 @@
         ``may_use_limited`` is whether one that states a limit is considered.
         """
         now = time.monotonic()
-        pace = Pace(self.latency.quantile(0.5), objective_ms)
+        pace = self._make_pace(objective_ms)
         usable = [
             target
             for target in self._list_usable(service, pace, now)
@@ -88,7 +98,7 @@
     ) -> Sequence[Target]:
         """Return the targets with a limit that were not tried, best first."""
         now = time.monotonic()
-        pace = Pace(self.latency.quantile(0.5), objective_ms)
+        pace = self._make_pace(objective_ms)
         limited = [
             target
             for target in self._list_usable(service, pace, now)
@@ -98,9 +108,26 @@
 
     def record_reply(self, target: Target, duration_ms: float) -> None:
         """Record the duration of a reply, or a lower bound of it."""
-        target.record_reply(duration_ms, self.latency.quantile(0.5))
+        median_ms = self.latency.quantile(0.5)
+        if target.health.speed.is_reported:
+            factor = target.health.speed.estimate_factor(time.monotonic())
+            delay_ms = duration_ms - median_ms * factor
+            if delay_ms > median_ms * _PAUSE_MEDIANS:
+                self.pauses.record(delay_ms)
+        target.record_reply(duration_ms, median_ms)
         self.latency.add(duration_ms)
 
+    def estimate_ms(
+        self, target: Target, objective_ms: float, now: float
+    ) -> float | None:
+        """Return the expected duration of an attempt that starts now.
+
+        None if the target does not report its speed.
+        """
+        if not target.health.speed.is_reported:
+            return None
+        return estimate_duration_ms(target, self._make_pace(objective_ms), now)
+
     def has_room(self, target: Target, median_ms: float, now: float) -> bool:
         """Return whether the target may receive another request.
 
@@ -114,6 +141,9 @@
         is_waiting = health.get_stall_ms(now) > median_ms
         return len(health.in_flight) < self.max_concurrent and not is_waiting
 
+    def _make_pace(self, objective_ms: float) -> Pace:
+        return Pace(self.latency.quantile(0.5), objective_ms, self.pauses)
+
     def _list_usable(
         self, service: str, pace: Pace, now: float
     ) -> list[Target]:
@@ -181,6 +211,7 @@
         self._started_at = time.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyWindow] = {}
+        self._pauses: dict[str, PauseEstimate] = {}
         self._contexts: dict[tuple[str, str], DispatchContext] = {}
         # Number of entries that share the limits of the targets; 0 if unknown.
         self.entries = 0
@@ -207,6 +238,7 @@
         }
         self._budgets = retain_known(self._budgets, services | spent)
         self._latencies = retain_known(self._latencies, routes)
+        self._pauses = retain_known(self._pauses, routes)
 
     def get(self, route: Route, service: Service) -> DispatchContext:
         """Return the context of a route's requests to a service."""
@@ -239,6 +271,7 @@
             retry_grants=self._retry_grants,
             permits=self._permits,
             latency=self.get_latency(route),
+            pauses=self._pauses.setdefault(route.name, PauseEstimate()),
             domain=self._options.domain,
             max_connections=max(int(connections), 1),
             max_concurrent=max_concurrent,
--- a/shallotgate/gateway/_health.py
+++ b/shallotgate/gateway/_health.py
@@ -3,6 +3,7 @@
 import math
 import time
 
+from shallotgate.gateway._speed import TargetSpeed
 from shallotgate.gateway._wire import TargetLoad
 
 _MS_PER_S = 1000
@@ -14,6 +15,10 @@
 _DECAY_S = 3.0
 # Validity of a load report in seconds.
 _LOAD_VALID_S = 0.25
+# Weight of the newest report in the usual load by other entries, and the time
+# constant of its decay in seconds, after which a target is tried again.
+_NEWEST_LOAD_WEIGHT = 0.2
+_USUAL_LOAD_DECAY_S = 5.0
 # Back-off after a failed connection in seconds, doubled with each further
 # failure.
 _BACKOFF_MIN_S = 0.25
@@ -37,6 +42,9 @@
         self._load: TargetLoad | None = None
         self._load_at = float('-inf')
         self._in_flight_at_load = 0
+        # Moving average of the requests of other entries at the target.
+        self._usual_others: float = 0
+        self.speed = TargetSpeed()
         self._failed_connects = 0
         self._down_until = float('-inf')
         # Condition aggregated over all entries, and its expiry.
@@ -49,7 +57,9 @@
     def estimate_condition(self, now: float) -> tuple[float, float]:
         """Return the slowness factor and the failure rate.
 
-        The factor is the reply duration as a multiple of the median.
+        The factor is the reply duration as a multiple of the median. For a
+        target that reports its speed, slowness that its reports don't explain
+        comes on top of its lasting speed.
         """
         decay = self._compute_decay(now)
         factor = 1 + (self._factor - 1) * decay
@@ -57,18 +67,22 @@
         if now < self._shared_until:
             factor = max(factor, self._shared_factor)
             failures = max(failures, self._shared_failures)
+        if self.speed.is_reported:
+            reported = self.speed.estimate_factor(now)
+            factor = max(reported, factor * self.speed.lasting)
         return factor, failures
 
     def estimate_queue(self, now: float) -> float:
         """Return the estimated number of requests at the target."""
         in_flight = len(self.in_flight)
         age = (now - self._load_at) / _LOAD_VALID_S
+        # A report is forgotten in favour of the usual load: if it fell to none,
+        # all entries would take the same target for the free one.
+        usual = self._estimate_usual_others(now) if age > 0 else 0
         if self._load is None or age > 1:
-            return in_flight
-        other_requests = (
-            self._load.running + self._load.waiting - self._in_flight_at_load
-        )
-        return in_flight + max(other_requests, 0) * (1 - age)
+            return in_flight + usual
+        others = _count_others(self._load, self._in_flight_at_load)
+        return in_flight + others * (1 - age) + usual * age
 
     def get_stall_ms(self, now: float) -> float:
         """Return the age of the oldest attempt in flight."""
@@ -114,8 +128,14 @@
 
     def record_load(self, load: TargetLoad) -> None:
         """Record the load reported in a reply."""
+        now = time.monotonic()
+        if load.duration_percent is not None:
+            self.speed.record(load.duration_percent, now)
+            usual = self._estimate_usual_others(now)
+            newest = _count_others(load, len(self.in_flight))
+            self._usual_others = usual + (newest - usual) * _NEWEST_LOAD_WEIGHT
         self._load = load
-        self._load_at = time.monotonic()
+        self._load_at = now
         self._in_flight_at_load = len(self.in_flight)
 
     def set_shared(self, factor: float, failures: float) -> None:
@@ -132,8 +152,17 @@
         """Expire the aggregated condition."""
         self._shared_until = float('-inf')
 
+    def _estimate_usual_others(self, now: float) -> float:
+        decay = math.exp((self._load_at - now) / _USUAL_LOAD_DECAY_S)
+        return self._usual_others * decay
+
     def _get_local_factor(self, now: float) -> float:
         return 1 + (self._factor - 1) * self._compute_decay(now)
 
     def _compute_decay(self, now: float) -> float:
         return math.exp((self._observed_at - now) / _DECAY_S)
+
+
+def _count_others(load: TargetLoad, own: int) -> int:
+    """Return the requests of other entries, given those of this one."""
+    return max(load.running + load.waiting - own, 0)
--- a/shallotgate/gateway/_target_chooser.py
+++ b/shallotgate/gateway/_target_chooser.py
@@ -2,9 +2,10 @@
 
 import random
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from shallotgate.gateway._directory import Target
+from shallotgate.gateway._pauses import PauseEstimate
 
 # Penalty for a target in another failure domain, as shares of the median and of
 # the latency objective, whichever is less: traffic between domains is billed.
@@ -35,6 +36,8 @@
     median_ms: float
     # Latency objective in milliseconds.
     objective_ms: float
+    # Pauses of the targets of the route.
+    pauses: PauseEstimate = field(default_factory=PauseEstimate)
 
     @property
     def remote_penalty_ms(self) -> float:
@@ -92,19 +95,9 @@
         now: float,
     ) -> float:
         """Return the expected response time and the penalties, in ms."""
-        health = target.health
-        factor, failures = health.estimate_condition(now)
-        if now < target.cold_until:
-            factor = max(factor, _COLD_FACTOR)
-        work_ms = pace.median_ms * factor
-        slots = target.listed.slots or 1
-        cost = work_ms * (1 + health.estimate_queue(now) / slots)
-        if health.in_flight:
-            # An attempt that takes longer than usual indicates a stalled
-            # target. The remaining stall is on average about as long as the
-            # elapsed one.
-            cost += max(health.get_stall_ms(now) - work_ms, 0)
-        cost += failures * pace.failure_penalty_ms + target.pool.acquire_ms
+        cost = estimate_duration_ms(target, pace, now)
+        _, failures = target.health.estimate_condition(now)
+        cost += failures * pace.failure_penalty_ms
         if target.listed.domain != self._domain:
             cost += pace.remote_penalty_ms
         if target.limit_per_s is not None:
@@ -112,6 +105,26 @@
         return cost * (1 + _JITTER * self._generator.random())
 
 
+def estimate_duration_ms(target: Target, pace: Pace, now: float) -> float:
+    """Return the expected time until the reply to a request sent now."""
+    health = target.health
+    factor, _ = health.estimate_condition(now)
+    if now < target.cold_until:
+        factor = max(factor, _COLD_FACTOR)
+    work_ms = pace.median_ms * factor
+    slots = target.listed.slots or 1
+    duration_ms = work_ms * (1 + health.estimate_queue(now) / slots)
+    # An attempt that takes longer than usual indicates a stalled target.
+    delay_ms = health.get_stall_ms(now) - work_ms
+    if health.in_flight and delay_ms > 0:
+        if health.speed.is_reported:
+            duration_ms += pace.pauses.estimate_remaining_ms(delay_ms)
+        else:
+            # The remaining stall is on average about as long as the elapsed.
+            duration_ms += delay_ms
+    return duration_ms + target.pool.acquire_ms
+
+
 def _list_open(
     targets: Sequence[Target], tried: Collection[Target], now: float
 ) -> list[Target]:
--- a/shallotgate/gateway/_wire.py
+++ b/shallotgate/gateway/_wire.py
@@ -31,6 +31,9 @@
     waiting: int
     # Maximum concurrent requests.
     slots: int
+    # Present duration of work on its machine, in percent of the usual one;
+    # None if it isn't reported.
+    duration_percent: int | None = None
 
 
 @dataclass(frozen=True)
--- a/testkit/gateway/_plain_wire.py
+++ b/testkit/gateway/_plain_wire.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from shallotgate.aio import Headers, IncomingRequest, Reply, Response
-from shallotgate.gateway import CallerRequest, ReplyMetadata
+from shallotgate.gateway import CallerRequest, ReplyMetadata, TargetLoad
 
 _MISDIRECTED = 421
 
@@ -34,11 +34,12 @@
         headers = dict(reply.headers)
         limit = headers.get(b'limit')
         pause = headers.get(b'pause')
+        load = headers.get(b'load')
         return ReplyMetadata(
             headers.get(b'signature', b''),
             b'not-run' in headers,
             reply.status == _MISDIRECTED,
-            None,
+            None if load is None else TargetLoad(*map(int, load.split(b','))),
             None if limit is None else float(limit),
             is_leaving=b'leaving' in headers,
             pause_s=None if pause is None else float(pause),
--- a/testkit/gateway/_targets.py
+++ b/testkit/gateway/_targets.py
@@ -12,6 +12,7 @@
 _RECORD_LIMIT = 10**9
 _CONNECT_S = 0.001
 _MS_PER_S = 1000
+_PERCENT = 100
 _SHED_STATUS = 503
 
 
@@ -24,6 +25,13 @@
     service_time_s: float = 0.01
     # Maximum number of requests processed concurrently.
     slots: int = 4
+    # Lasting and present multiples of the service time; the second holds until
+    # a loop time.
+    speed: float = 1
+    moment_factor: float = 2.5
+    moment_until: float = 0
+    # Whether replies state the load, with the present speed.
+    is_load_reported: bool = False
     # Loop time until which replies are held back; processing then resumes.
     paused_until: float = 0
     # Whether it rejects all requests without running them.
@@ -59,6 +67,15 @@
     def __post_init__(self) -> None:
         """Create the semaphore that limits concurrency."""
         self._semaphore = asyncio.Semaphore(self.slots)
+        self._running = 0
+        self._waiting = 0
+
+    @property
+    def present_factor(self) -> float:
+        """Present duration of work as a multiple of the service time."""
+        if asyncio.get_running_loop().time() < self.moment_until:
+            return self.speed * self.moment_factor
+        return self.speed
 
     async def work(self, request_id: bytes) -> Reply:
         """Process a request and return the reply."""
@@ -70,9 +87,7 @@
         if request_id == self.crashing_request_id:
             self._crash()
         crashes = self.crashes
-        async with self._semaphore:
-            await asyncio.sleep(self.service_time_s)
-            await asyncio.sleep(max(self.paused_until - loop.time(), 0))
+        await self._process()
         if self.drops_connection or crashes != self.crashes:
             raise TargetLostError('lost')
         self.completed_ids.append(request_id)
@@ -80,10 +95,27 @@
         body = _RECORD % random.randrange(_RECORD_LIMIT)  # noqa: S311
         return self._reply(200, (b'signature', signature), body)
 
+    async def _process(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._waiting += 1
+        try:
+            await self._semaphore.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            await asyncio.sleep(self.service_time_s * self.present_factor)
+            await asyncio.sleep(max(self.paused_until - loop.time(), 0))
+        finally:
+            self._running -= 1
+            self._semaphore.release()
+
     def _reply(
         self, status: int, header: tuple[bytes, bytes], body: bytes = b''
     ) -> Reply:
         headers = [header]
+        if self.is_load_reported:
+            headers.append((b'load', self._describe_load()))
         if self.limit_per_s:
             headers.append((b'limit', b'%f' % self.limit_per_s))
         if self.is_leaving:
@@ -92,6 +124,14 @@
             headers.append((b'pause', b'%f' % self.pause_s))
         return Reply(status, headers, body)
 
+    def _describe_load(self) -> bytes:
+        return b'%d,%d,%d,%d' % (
+            self._running,
+            self._waiting,
+            self.slots,
+            round(self.present_factor * _PERCENT),
+        )
+
     def _crash(self) -> None:
         """Go down for a while; requests in progress are lost."""
         self.crashes += 1
--- a/testkit/gateway/_tier.py
+++ b/testkit/gateway/_tier.py
@@ -38,20 +38,25 @@
         *,
         slack: float = SLACK,
         has_leader: bool = True,
+        domains: str = DOMAINS,
         **fields: object,
     ) -> None:
         """Create the entries.
 
-        ``has_leader`` is whether a leader grants extra attempts.
+        ``has_leader`` is whether a leader grants extra attempts; ``domains``
+        are the failure domains of the entries.
         """
         fields = {'slack': slack, **fields}
         pool = RetryGrantPool(RetryBudgetPolicy(ALLOWED_RATIO, slack, WINDOW_S))
         pool.activate(float('-inf'), float('-inf'))
-        first = SimulatedEntry(**fields)  # type: ignore[arg-type]
+        first = SimulatedEntry(
+            domain=domains[0],
+            **fields,  # type: ignore[arg-type]
+        )
         others = [
             SimulatedEntry(
                 seed=number,
-                domain=DOMAINS[number % len(DOMAINS)],
+                domain=domains[number % len(domains)],
                 targets=first.targets,
                 **fields,  # type: ignore[arg-type]
             )
