--- a/shallotgate/admission/_book.py
+++ b/shallotgate/admission/_book.py
@@ -1,6 +1,6 @@
 """Outlooks of all services for all kinds of requests."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from shallotgate.admission._kinds import KindIndex, RequestKind
 from shallotgate.admission._load import LoadReport
@@ -59,9 +59,9 @@
         if record is not None:
             record.record_silence(target, elapsed_ms, now)
 
-    def knows_any(self, shards: Collection[ShardState]) -> bool:
-        """Return whether targets of any shard report their speed."""
-        return any(shard.service in self._records for shard in shards)
+    def knows_any(self, services: Iterable[str]) -> bool:
+        """Return whether targets of any service report their speed."""
+        return any(service in self._records for service in services)
 
     def get_record(self, service: str) -> ServiceRecord:
         """Return what is known of a service, which may be nothing."""
--- a/shallotgate/admission/_control.py
+++ b/shallotgate/admission/_control.py
@@ -20,10 +20,8 @@
 
 _MS_PER_S = 1000
 # No second attempt is sent to a shard whose replicas all have more requests
-# than slots, or whose replicas are all slower than usual by this factor: it
-# would wait as long as the first attempt and keep others waiting.
+# than slots: it would wait as long as the first one and keep others waiting.
 _FULL_OCCUPANCY = 1.0
-_SLOW_FACTOR = 2.0
 # Part of the room that is open to callers who return.
 _RETURN_SHARE = 0.25
 
@@ -41,6 +39,11 @@
     # Name of the caller's account; empty if there is none.
     account: str = ''
 
+    @property
+    def services(self) -> list[str]:
+        """Services that are asked."""
+        return [shard.service for shard in self.shards]
+
 
 @dataclass(frozen=True)
 class Decision:
@@ -88,7 +91,7 @@
     def decide(self, request: AdmissionRequest, now: float) -> Decision | None:
         """Admit or refuse a request; None if no target reports its speed."""
         kind = self._book.kinds.by_name.get(request.kind)
-        if kind is None or not self._book.knows_any(request.shards):
+        if kind is None or not self._book.knows_any(request.services):
             return None
         shards = self._estimate(request, now)
         deciding = find_deciding(shards, kind.needed)
@@ -100,26 +103,22 @@
 
     def allows_extra(self, state: ShardState, now: float) -> bool:
         """Return whether a hedge or repetition may be sent to a shard."""
-        if not self._book.knows_any((state,)):
+        if not self._book.knows_any((state.service,)):
             return True
         shard = self._book.estimate('', state, now)
-        is_full = shard.occupancy > _FULL_OCCUPANCY
-        return not is_full and shard.slowness < _SLOW_FACTOR
+        return shard.occupancy <= _FULL_OCCUPANCY
 
     def choose_return(
         self, request: AdmissionRequest, decision: Decision | None, now: float
-    ) -> float:
+    ) -> float | None:
         """Return the delay in seconds after which a refused caller returns.
 
-        Without a decision, a request that was admitted did not run.
+        Without a decision, a request that was admitted did not run. Returns
+        None if no target reports its speed.
         """
         kind = self._book.kinds.by_name.get(request.kind)
-        window = ReturnWindow(
-            left_s=request.deadline - now,
-            objective_left_s=request.answer_by - now,
-        )
-        if kind is None or not self._book.knows_any(request.shards):
-            return self._returns.choose('', window, now)
+        if kind is None or not self._book.knows_any(request.services):
+            return None
         if decision is None or decision.reason == 'no_target':
             ready_s = _find_ready_s(request.shards, kind.needed)
             shard = find_deciding(self._estimate(request, now), kind.needed)
@@ -128,7 +127,9 @@
             ready_s = self._find_drain_s(shard)
         return self._returns.choose(
             shard.service,
-            window.extend(
+            ReturnWindow(
+                request.deadline - now,
+                request.answer_by - now,
                 ready_s,
                 self._find_interval_s(shard, request),
                 self._book.get_usual_ms(kind.name) * shard.slowness / _MS_PER_S,
--- a/shallotgate/admission/_returns.py
+++ b/shallotgate/admission/_returns.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 # Range without any knowledge, in seconds, randomised to avoid synchronised
 # retries: targets accept new work within tens of milliseconds.
@@ -32,14 +32,6 @@
     # Time that it takes to serve the retry.
     served_s: float = 0
 
-    def extend(
-        self, ready_s: float | None, interval_s: float, served_s: float
-    ) -> 'ReturnWindow':
-        """Return the window with what is known of the deciding shard."""
-        return replace(
-            self, ready_s=ready_s, interval_s=interval_s, served_s=served_s
-        )
-
     @property
     def last_s(self) -> float:
         """Latest return at which the retry can be served in time."""
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -82,6 +82,8 @@
         # Attempts that ran or may have run.
         self._runs = 0
         self._failure: Reply | None = None
+        # Whether an attempt was lost, which is repeated even at full targets.
+        self._is_lost = False
         self._hedge_at = float('inf')
         # Time from which a hedge is sent without asking ``may_hedge``.
         self._hedge_forced_at = float('inf')
@@ -245,6 +247,10 @@
         target = self.selection.find(is_extra=is_extra)
         if target is None:
             return False
+        if is_extra and not (
+            self._is_lost or self._extra.is_worthwhile(route.objective_ms)
+        ):
+            return False
         if is_extra and not self._extra.acquire():
             self.selection.keep(target)
             return False
@@ -294,6 +300,7 @@
             elif not isinstance(error, TargetProtocolError):
                 # A target that sends anything has not crashed.
                 self._call.crashes.lost.append(attempt.target)
+                self._is_lost = True
             self._call.trace.add('lost', target=target, error=str(error))
             return None
         reply = future.result()
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -4,9 +4,11 @@
 import time
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from shallotgate.extras import RetryBudget
 from shallotgate.gateway._active_table import retain_known
+from shallotgate.gateway._admission import RequestAdmission
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
@@ -71,6 +73,10 @@
     are_connections_scarce: bool
     warm_up: WarmUpLimiter
     on_event: Callable[[str], None]
+    # Takes each reply, or that there was none, for the admission of requests.
+    record_for_admission: Callable[[Target, float], None]
+    # Returns whether a second attempt may be sent to a service with targets.
+    allows_extra: Callable[[str, Sequence[Target]], bool]
 
     def choose(
         self,
@@ -116,6 +122,7 @@
                 self.pauses.record(delay_ms)
         target.record_reply(duration_ms, median_ms)
         self.latency.add(duration_ms)
+        self.record_for_admission(target, duration_ms)
 
     def estimate_ms(
         self, target: Target, objective_ms: float, now: float
@@ -141,6 +148,16 @@
         is_waiting = health.get_stall_ms(now) > median_ms
         return len(health.in_flight) < self.max_concurrent and not is_waiting
 
+    def list_open(self, service: str, objective_ms: float) -> list[Target]:
+        """Return the targets that may receive a request now."""
+        now = time.monotonic()
+        pace = self._make_pace(objective_ms)
+        return [
+            target
+            for target in self._list_usable(service, pace, now)
+            if not target.health.is_down(now)
+        ]
+
     def _make_pace(self, objective_ms: float) -> Pace:
         return Pace(self.latency.quantile(0.5), objective_ms, self.pauses)
 
@@ -199,6 +216,7 @@
         reporter: RequestReporter,
         retry_grants: RetryGrantSource,
         permits: PermitSource,
+        admission: RequestAdmission,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -207,6 +225,7 @@
         self._reporter = reporter
         self._retry_grants = retry_grants
         self._permits = permits
+        self._admission = admission
         self._chooser = TargetChooser(options.domain, generator)
         self._started_at = time.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
@@ -220,6 +239,7 @@
         """Set the number of entries that share the limits."""
         if count != self.entries:
             self.entries = count
+            self._admission.entries = count
             self._contexts.clear()
 
     def apply_table(self, table: RoutingTable) -> None:
@@ -228,6 +248,7 @@
         The budget of a service that may be named again soon is kept.
         """
         self._contexts.clear()
+        self._admission.apply_table(table)
         now = time.monotonic()
         services = {service.name for service in table.services}
         routes = {route.name for route in table.routes}
@@ -282,6 +303,10 @@
                 self._generator,
             ),
             on_event=self._reporter.count,
+            record_for_admission=partial(
+                self._admission.record_reply, route.name
+            ),
+            allows_extra=self._admission.allows_extra,
         )
 
     def _get_budget(self, service: str) -> RetryBudget:
--- a/shallotgate/gateway/_extra_permit.py
+++ b/shallotgate/gateway/_extra_permit.py
@@ -27,6 +27,16 @@
         self.is_pending = False
         self.is_granted = False
 
+    def is_worthwhile(self, objective_ms: float) -> bool:
+        """Return whether some target has room for an extra attempt."""
+        context = self._context
+        targets = context.list_open(self._service, objective_ms)
+        if context.allows_extra(self._service, targets):
+            return True
+        self._trace.add('full', service=self._service)
+        context.on_event('extra_shed')
+        return False
+
     def acquire(self) -> bool:
         """Return whether an extra attempt may be sent now.
 
--- a/shallotgate/gateway/_fan_out.py
+++ b/shallotgate/gateway/_fan_out.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import heapq
-import math
 import time
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Literal
 
 from shallotgate.gateway._call import Call
+from shallotgate.gateway._coverage import count_needed
 from shallotgate.gateway._dispatch import Dispatch, Outcome
 from shallotgate.gateway._options import RECORD_BYTES
 from shallotgate.gateway._permits import LimitedChoice, PermitSource
@@ -19,8 +19,6 @@
 # more are, the cause is common to them, like the start of this entry or a busy
 # processor, and hedges would waste the budget.
 _MAX_HEDGED_SHARE = 0.4
-# Tolerance for rounding errors of a floating-point product.
-_ROUNDING_TOLERANCE = 1e-9
 
 
 # Creates the dispatch of a request to one service; the second argument tells
@@ -75,10 +73,8 @@
         ]
         self._selections = [each.selection for each in self._dispatches]
         self._parts: list[Outcome] = []
-        # Replies required for an answer. The product of a share like 0.56 and
-        # 25 is slightly above the whole number that it stands for.
-        share = call.route.min_coverage * len(shards)
-        self._needed = max(math.ceil(share - _ROUNDING_TOLERANCE), 1)
+        # Replies required for an answer.
+        self._needed = count_needed(call.route)
         self._pending = len(shards)
         # Set when every shard has finished, when too few can still answer, or
         # when the replies at hand suffice for a late answer.
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -7,6 +7,8 @@
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
 from shallotgate.gateway._active_table import ActiveTable
+from shallotgate.gateway._admission import RequestAdmission
+from shallotgate.gateway._admission_report import AdmissionReporter
 from shallotgate.gateway._blocklist import ContentBlocklist
 from shallotgate.gateway._call import Call, make_call, make_single_attempt
 from shallotgate.gateway._directory import Directory
@@ -52,6 +54,9 @@
         self._blocklist = blocklist
         self._active: ActiveTable | None = None
         self._permits = permits
+        self.admission = RequestAdmission(
+            directory, generator, AdmissionReporter(reporter.metrics)
+        )
         self._contexts = DispatchContextCache(
             wire,
             directory,
@@ -60,6 +65,7 @@
             reporter,
             retry_grants,
             permits,
+            self.admission,
         )
         self._drain = Drain()
 
@@ -172,14 +178,26 @@
             self._blocklist.conclude_trial(call.content, call.crashes)
 
     async def _send(self, call: Call, active: ActiveTable) -> Response:
+        route = call.route
+        names = route.shards or (active.choose_service(route),)
+        shards = {
+            name: self._contexts.get(route, active.services[name])
+            for name in names
+        }
+        refusal = self.admission.refuse(call, shards)
+        if refusal is not None:
+            return self._refuse(refusal.retry_after_s)
         make_dispatch = self._make_dispatch_factory(call, active)
-        if call.route.shards:
+        if route.shards:
             fan_out_result = await FanOut(
                 call, make_dispatch, self._permits
             ).run()
+            if fan_out_result.status == 'not_run':
+                return self._refuse(self.admission.choose_return(call, shards))
             return self._answer_gathered(call, fan_out_result)
-        service = active.choose_service(call.route)
-        outcome = await make_dispatch(service, _always).run()
+        outcome = await make_dispatch(names[0], _always).run()
+        if outcome.status == 'not_run':
+            return self._refuse(self.admission.choose_return(call, shards))
         return self._answer_single(call, outcome)
 
     def _make_dispatch_factory(
@@ -212,8 +230,6 @@
                 fan_out_result.missing,
                 fan_out_result.body,
             )
-        if fan_out_result.status == 'not_run':
-            return self._refuse()
         return self._wire.refuse(
             504 if fan_out_result.status == 'late' else 502, None
         )
@@ -221,14 +237,13 @@
     def _answer_single(self, call: Call, outcome: Outcome) -> Response:
         if outcome.reply is not None:
             return self._wire.forward_reply(outcome.reply)
-        if outcome.status == 'not_run':
-            return self._refuse()
         is_late = time.monotonic() >= call.deadline
         return self._wire.refuse(504 if is_late else 502, None)
 
-    def _refuse(self) -> Response:
+    def _refuse(self, retry_after_s: float | None = None) -> Response:
         self._reporter.count('refused')
-        retry_after_s = self._generator.uniform(_RETRY_MIN_S, _RETRY_MAX_S)
+        if retry_after_s is None:
+            retry_after_s = self._generator.uniform(_RETRY_MIN_S, _RETRY_MAX_S)
         return self._wire.refuse(503, retry_after_s)
 
 
--- a/shallotgate/gateway/_health.py
+++ b/shallotgate/gateway/_health.py
@@ -42,11 +42,14 @@
         self._load: TargetLoad | None = None
         self._load_at = float('-inf')
         self._in_flight_at_load = 0
+        # Last load with a speed and its monotonic time; None before the first.
+        self.last_report: tuple[TargetLoad, float] | None = None
         # Moving average of the requests of other entries at the target.
         self._usual_others: float = 0
         self.speed = TargetSpeed()
         self._failed_connects = 0
-        self._down_until = float('-inf')
+        # Monotonic end of the back-off after failed connections.
+        self.down_until = float('-inf')
         # Condition aggregated over all entries, and its expiry.
         self._shared_factor: float = 1
         self._shared_failures: float = 0
@@ -91,7 +94,7 @@
 
     def is_down(self, now: float) -> bool:
         """Return whether the target is in back-off after failed connects."""
-        return now < self._down_until
+        return now < self.down_until
 
     def is_reachable(self, now: float) -> bool:
         """Return whether the last connection to the target did not fail.
@@ -123,7 +126,7 @@
         """Record a failure to connect and start a back-off."""
         self.record_failure()
         pause_s = _BACKOFF_MIN_S * 2**self._failed_connects
-        self._down_until = time.monotonic() + min(pause_s, _BACKOFF_MAX_S)
+        self.down_until = time.monotonic() + min(pause_s, _BACKOFF_MAX_S)
         self._failed_connects += 1
 
     def record_load(self, load: TargetLoad) -> None:
@@ -131,6 +134,7 @@
         now = time.monotonic()
         if load.duration_percent is not None:
             self.speed.record(load.duration_percent, now)
+            self.last_report = (load, now)
             usual = self._estimate_usual_others(now)
             newest = _count_others(load, len(self.in_flight))
             self._usual_others = usual + (newest - usual) * _NEWEST_LOAD_WEIGHT
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -42,6 +42,11 @@
         self._logged = 0
         self._left_out = 0
 
+    @property
+    def metrics(self) -> Metrics:
+        """Metrics of the entry."""
+        return self._metrics
+
     def count(self, event: str) -> None:
         """Increment the counter of an event."""
         self._metrics.count(f'gateway_{event}_total')
