--- a/shallotgate/admission/_control.py
+++ b/shallotgate/admission/_control.py
@@ -22,8 +22,13 @@
 # No second attempt is sent to a shard whose replicas all have more requests
 # than slots: it would wait as long as the first one and keep others waiting.
 _FULL_OCCUPANCY = 1.0
+# Part of the requests that is refused while too few shards have a target that
+# does not fail. The others show when targets have recovered.
+_FAILING_PART = 0.75
 # Part of the room that is open to callers who return.
 _RETURN_SHARE = 0.25
+# Reasons for which the end of a pause or a back-off gives the time to return.
+_NO_QUEUE_REASONS = ('no_target', 'failing')
 
 
 @dataclass(frozen=True)
@@ -49,7 +54,7 @@
 class Decision:
     """Admission or refusal of a request, with the inputs."""
 
-    reason: Literal['', 'no_target', 'deadline', 'pressure']
+    reason: Literal['', 'no_target', 'deadline', 'failing', 'pressure']
     # The shard that decided.
     shard: ShardOutlook
     # Probability of a refusal because of the pressure.
@@ -75,7 +80,7 @@
         # Entries that share the targets; 0 if it is unknown.
         self.entries = 0
         self._book = book
-        self._generator = generator
+        self._draw = generator.random
         self._mean_usage = MeanUsage()
         self._returns = ReturnTimes(generator)
 
@@ -99,6 +104,8 @@
             return Decision('no_target', deciding)
         if deciding.expected_ms > (request.deadline - now) * _MS_PER_S:
             return Decision('deadline', deciding)
+        if deciding.is_failing and self._draw() < _FAILING_PART:
+            return Decision('failing', deciding, _FAILING_PART)
         return self._decide_by_pressure(request, kind, shards, now)
 
     def allows_extra(self, state: ShardState, now: float) -> bool:
@@ -119,7 +126,7 @@
         kind = self._book.kinds.by_name.get(request.kind)
         if kind is None or not self._book.knows_any(request.services):
             return None
-        if decision is None or decision.reason == 'no_target':
+        if decision is None or decision.reason in _NO_QUEUE_REASONS:
             ready_s = _find_ready_s(request.shards, kind.needed)
             shard = find_deciding(self._estimate(request, now), kind.needed)
         else:
@@ -164,7 +171,7 @@
             kinds.find_rank(pressed.service, request.priority),
             difference,
         )
-        is_refused = self._generator.random() < refused_part
+        is_refused = self._draw() < refused_part
         return Decision(
             'pressure' if is_refused else '', pressed, refused_part, difference
         )
--- a/shallotgate/admission/_load.py
+++ b/shallotgate/admission/_load.py
@@ -6,9 +6,17 @@
 # Time constant of the moving averages in seconds: loads change many times a
 # second, so a report after a longer silence replaces the average.
 _AVERAGE_S = 0.5
-# Time constant in seconds in which knowledge becomes uncertain. Faults last
-# for seconds, and an entry hears of a shard about every 2 s.
-_CERTAINTY_S = 2.0
+# Time constants in seconds in which knowledge becomes uncertain. A queue has
+# on average as much time left as it has been seen for. Moments of slowness take
+# 0.6 s and are 2.5 times as slow; slower work is a fault that takes seconds.
+_MIN_CERTAINTY_S = 0.6
+_MAX_CERTAINTY_S = 2.0
+_FAULT_SLOWNESS = 3.5
+# The same for a target that did not reply: an entry learns of it only after the
+# deadline of a request, and asks a shard about every 2 s.
+_SILENCE_CERTAINTY_S = 3.0
+# Reports further apart than this, in seconds, don't belong to one queue.
+_SAME_QUEUE_S = 4.0
 # Time left for an attempt without a reply, as a multiple of its age. Pauses
 # are shorter than most objectives; what takes longer has a long tail.
 _SILENCE_FACTOR = 2.0
@@ -60,12 +68,20 @@
         self._occupancy: float = 0
         self._slowness: float = 1
         self._reported_at = -math.inf
+        # Time of the first report of the present queue.
+        self._full_since = math.inf
         self._silence_ms: float = 0
         self._silent_at = -math.inf
 
     def record(self, report: LoadReport, now: float) -> None:
         """Record the report of a reply."""
         weight = 1 - math.exp((self._reported_at - now) / _AVERAGE_S)
+        if report.occupancy <= 1:
+            self._full_since = math.inf
+        elif now - self._reported_at > _SAME_QUEUE_S:
+            self._full_since = now
+        else:
+            self._full_since = min(self._full_since, now)
         # Replies at the same moment count, too.
         weight = max(weight, 0.1)
         self._occupancy += (report.occupancy - self._occupancy) * weight
@@ -84,15 +100,24 @@
         ``stall_ms`` is the age of the oldest attempt in flight.
         """
         age_s = now - self._reported_at
-        silence_ms = self._silence_ms * _decay(now - self._silent_at)
+        silence_ms = self._silence_ms * _decay(
+            now - self._silent_at, _SILENCE_CERTAINTY_S
+        )
         return LoadEstimate(
-            certainty=_decay(age_s),
+            certainty=_decay(age_s, self._find_certainty_s()),
             occupancy=self._occupancy,
             slowness=self._slowness,
             silence_ms=max(silence_ms, stall_ms * _SILENCE_FACTOR),
             age_s=age_s,
         )
 
+    def _find_certainty_s(self) -> float:
+        """Return the time constant of the last report."""
+        if self._occupancy <= 1 or self._slowness > _FAULT_SLOWNESS:
+            return _MAX_CERTAINTY_S
+        seen_s = self._reported_at - self._full_since
+        return min(max(seen_s, _MIN_CERTAINTY_S), _MAX_CERTAINTY_S)
+
 
-def _decay(age_s: float) -> float:
-    return math.exp(-age_s / _CERTAINTY_S)
+def _decay(age_s: float, constant_s: float) -> float:
+    return math.exp(-age_s / constant_s)
--- a/shallotgate/admission/_odds.py
+++ b/shallotgate/admission/_odds.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+# Pressure that causes no refusals: reports vary, and what is known of a full
+# replica is assumed in part of those that are not.
+_IGNORED_PRESSURE = 0.1
 # Largest part of a priority or an account that is refused before all others
 # are refused as much: none gets less than a quarter of the share of all.
 _MAX_PART = 0.75
@@ -32,13 +35,14 @@
     first. ``usage_difference`` is how much more of its limit the account has
     used than the mean account of the requests.
 
-    >>> compute_refused_part(0.25, Rank(position=1, count=2))
+    >>> compute_refused_part(0.325, Rank(position=1, count=2))
     0.375
-    >>> compute_refused_part(0.25, Rank(position=0, count=2))
+    >>> compute_refused_part(0.325, Rank(position=0, count=2))
     0.0
     """
+    effect = (pressure - _IGNORED_PRESSURE) / (1 - _IGNORED_PRESSURE)
     stage = rank.count - 1 - rank.position
-    level = _clamp(pressure * rank.count - stage)
+    level = _clamp(effect * rank.count - stage)
     # No effect at the ends, so that no account precedes a priority.
     slope = 2 * min(level, 1 - level)
     part = _clamp(level + usage_difference * _USAGE_EFFECT * slope) * _MAX_PART
--- a/shallotgate/admission/_outlook.py
+++ b/shallotgate/admission/_outlook.py
@@ -7,10 +7,6 @@
 from shallotgate.admission._load import UNKNOWN, LoadEstimate
 from shallotgate.admission._room import WorkNeed, measure_pressure
 
-# Part of what is known of the other replicas that is assumed of one of which
-# nothing is known.
-_ASSUMED_PART = 0.75
-
 
 @dataclass(frozen=True)
 class ShardOutlook:
@@ -25,6 +21,13 @@
     slowness: float = 1
     # Age of the newest report; infinite without one.
     age_s: float = math.inf
+    # Whether all targets fail, or there is none.
+    is_failing: bool = False
+
+    @property
+    def order(self) -> tuple[bool, float]:
+        """Order in which shards are expected to answer."""
+        return self.is_failing, self.expected_ms
 
 
 @dataclass(frozen=True)
@@ -42,6 +45,8 @@
     loads: Sequence[LoadEstimate],
     work: ServiceWork,
     usual_ms: float,
+    *,
+    is_failing: bool = False,
 ) -> ShardOutlook:
     """Return the outlook of a shard with one load for each usable target.
 
@@ -64,6 +69,7 @@
             loads, [load.slowness for load in loads], UNKNOWN.slowness
         ),
         age_s=min((load.age_s for load in loads), default=math.inf),
+        is_failing=is_failing,
     )
 
 
@@ -71,14 +77,17 @@
     shards: Collection[ShardOutlook], needed: int
 ) -> ShardOutlook:
     """Return the shard whose reply completes an answer of ``needed`` shards."""
-    ordered = sorted(shards, key=lambda shard: shard.expected_ms)
+    ordered = sorted(shards, key=lambda shard: shard.order)
     return ordered[min(needed, len(ordered)) - 1]
 
 
 def find_pressed(shards: Collection[ShardOutlook], needed: int) -> ShardOutlook:
-    """Return the most pressed of the ``needed`` shards with least pressure."""
-    ordered = sorted(shards, key=lambda shard: shard.pressure)
-    return ordered[min(needed, len(ordered)) - 1]
+    """Return the most pressed of the ``needed`` shards that reply first.
+
+    An answer lacks the others, like one whose only replica hangs.
+    """
+    ordered = sorted(shards, key=lambda shard: shard.order)
+    return max(ordered[:needed], key=lambda shard: shard.pressure)
 
 
 def _estimate_ms(load: LoadEstimate, mean_ms: float, usual_ms: float) -> float:
@@ -95,17 +104,16 @@
 ) -> float:
     """Return the least expected figure of all targets.
 
-    What is known of some replicas is assumed in part of the others: entries
-    choose the best replica, so the ones that they hear of are not the worst.
+    Of a target of which nothing is known, the mean of all is assumed, in which
+    the unknown ones count as good: entries choose the best replica, so the ones
+    that they hear of are not the worst.
     """
-    certainty = sum(load.certainty for load in loads)
-    if not certainty:
+    if not loads:
         return good
     assumed = sum(
-        load.certainty**2 * (figure - good)
+        load.certainty * (figure - good)
         for load, figure in zip(loads, figures, strict=True)
-    )
-    assumed *= _ASSUMED_PART / certainty
+    ) / len(loads)
     return good + min(
         load.certainty * (figure - good) + (1 - load.certainty) * assumed
         for load, figure in zip(loads, figures, strict=True)
--- a/shallotgate/admission/_room.py
+++ b/shallotgate/admission/_room.py
@@ -10,7 +10,7 @@
 # wait for a tenth of a work duration or longer, at 0.7 a fifth.
 _BUSY_OCCUPANCY = 0.65
 # Part of the tolerable queue at which refusals begin.
-_BEGIN_SHARE = 0.25
+_BEGIN_SHARE = 0.5
 # Least width of the range of occupancies over which the pressure grows from 0
 # to 1. Narrower ones make the refused part vary between nothing and all.
 _MIN_RANGE = 0.35
--- a/shallotgate/admission/_services.py
+++ b/shallotgate/admission/_services.py
@@ -19,6 +19,9 @@
 _MS_PER_S = 1000
 # Weight of the newest reply in the mean duration of the work of all kinds.
 _NEWEST_WEIGHT = 0.1
+# Part of failed attempts from which a target counts as failing: with two
+# attempts at such targets, half of the requests get no reply of the shard.
+_FAILING_SHARE = 0.7
 # Targets that are kept at most: several times the replicas of a service, as
 # targets that were replaced are forgotten only by this bound.
 _MAX_TARGETS = 64
@@ -31,6 +34,8 @@
     name: str
     # Age of the oldest attempt in flight; 0 without one.
     stall_ms: float = 0
+    # Part of the attempts that fail, as all entries together see it.
+    failures: float = 0
 
 
 @dataclass(frozen=True)
@@ -83,6 +88,9 @@
             [self._estimate_target(target, now) for target in state.targets],
             ServiceWork(needs, self.mean_ms),
             usual_ms,
+            is_failing=all(
+                target.failures > _FAILING_SHARE for target in state.targets
+            ),
         )
 
     def find_drain_s(
--- a/shallotgate/gateway/_admission.py
+++ b/shallotgate/gateway/_admission.py
@@ -22,6 +22,11 @@
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.routes import Route, RoutingTable
 
+# An attempt without a reply for this multiple of the objective is a failure in
+# what entries tell each other: a target that hangs does not look like one that
+# is slow.
+_SILENT_OBJECTIVES = 3.0
+
 
 class TargetLister(Protocol):
     """Knows the targets of a service that may receive a request now."""
@@ -82,24 +87,32 @@
 
     def record_reply(
         self, route: str, target: Target, duration_ms: float
-    ) -> None:
-        """Record a reply, or an attempt that was given up without one."""
+    ) -> bool:
+        """Record a reply, or an attempt that was given up without one.
+
+        Returns whether the target counts as silent.
+        """
         now = time.monotonic()
         if target.health.last_report is None:
-            return
+            return False
         load, reported_at = target.health.last_report
         listed = target.listed
         if reported_at < now:
             self._book.record_silence(
                 listed.service, listed.target, duration_ms, now
             )
-            return
+            kind = self._book.kinds.by_name.get(route)
+            return (
+                kind is not None
+                and duration_ms > kind.objective_ms * _SILENT_OBJECTIVES
+            )
         report = LoadReport(
             load.running, load.waiting, load.slots, load.duration_percent or 0
         )
         self._book.record_reply(
             route, listed.service, listed.target, report, duration_ms, now
         )
+        return False
 
     def refuse(
         self, call: Call, shards: Mapping[str, TargetLister]
@@ -161,7 +174,11 @@
         self, service: str, targets: Sequence[Target], now: float
     ) -> ShardState:
         states = [
-            TargetState(target.listed.target, target.health.get_stall_ms(now))
+            TargetState(
+                target.listed.target,
+                target.health.get_stall_ms(now),
+                target.health.estimate_condition(now)[1],
+            )
             for target in targets
         ]
         ready_s = None if states else self._find_ready_s(service, now)
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -73,8 +73,9 @@
     are_connections_scarce: bool
     warm_up: WarmUpLimiter
     on_event: Callable[[str], None]
-    # Takes each reply, or that there was none, for the admission of requests.
-    record_for_admission: Callable[[Target, float], None]
+    # Takes each duration for the admission of requests; returns whether it is
+    # that of an attempt without a reply, which counts as a failure.
+    record_for_admission: Callable[[Target, float], bool]
     # Returns whether a second attempt may be sent to a service with targets.
     allows_extra: Callable[[str, Sequence[Target]], bool]
 
@@ -114,6 +115,9 @@
 
     def record_reply(self, target: Target, duration_ms: float) -> None:
         """Record the duration of a reply, or a lower bound of it."""
+        if self.record_for_admission(target, duration_ms):
+            target.record_failure()
+            return
         median_ms = self.latency.quantile(0.5)
         if target.health.speed.is_reported:
             factor = target.health.speed.estimate_factor(time.monotonic())
@@ -122,7 +126,6 @@
                 self.pauses.record(delay_ms)
         target.record_reply(duration_ms, median_ms)
         self.latency.add(duration_ms)
-        self.record_for_admission(target, duration_ms)
 
     def estimate_ms(
         self, target: Target, objective_ms: float, now: float
