--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -6,6 +6,7 @@
 from shallotgate.gateway._follower import TierFollower
 from shallotgate.gateway._gateway import Gateway
 from shallotgate.gateway._options import GatewayOptions
+from shallotgate.gateway._pacer import TargetPacer
 from shallotgate.gateway._permits import PermitClient, PermitSource
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantClient, RetryGrantSource
@@ -32,6 +33,7 @@
     'Target',
     'TargetChooser',
     'TargetLoad',
+    'TargetPacer',
     'TierFollower',
     'WireCodec',
     'merge_records',
--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -9,6 +9,7 @@
     ReplyLimitError,
     TargetConnectError,
     TargetError,
+    TargetLostError,
 )
 from shallotgate.gateway._call import Call
 from shallotgate.gateway._directory import Target
@@ -144,7 +145,10 @@
             self.target.pool.release(self._connection, idle_timeout_s)
 
     def _handle_failure(self, error: TargetError) -> None:
-        self.target.record_failure()
+        if isinstance(error, TargetLostError):
+            self.target.record_lost()
+        else:
+            self.target.record_failure()
         if isinstance(error, ReplyLimitError):
             _LOGGER.warning(
                 'Reply aborted: %s.',
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -6,8 +6,9 @@
 
 from shallotgate.gateway._connection_pool import ConnectionPool
 from shallotgate.gateway._health import TargetHealth
+from shallotgate.gateway._pacer import NoPacing, TargetPacer
 from shallotgate.gateway._reply_stats import ReplyStats
-from shallotgate.gateway._wire import ReplyMetadata
+from shallotgate.gateway._wire import ReplyMetadata, TargetLoad
 from shallotgate.generated.messages import (
     ListedTarget,
     ListingUpdate,
@@ -19,6 +20,7 @@
 
 _LOGGER = get_logger('directory')
 _MS_PER_S = 1000
+_PERCENT = 100
 # Longest pause that a target may ask for, in seconds.
 _MAX_PAUSE_S = 3600.0
 # Lower bound for the median in slowness ratios, in milliseconds.
@@ -70,7 +72,22 @@
     def record_connect_failure(self) -> None:
         """Record a failure to connect."""
         self.health.record_connect_failure()
-        self.reply_stats.add_failure(self.listed.target)
+        self.reply_stats.add_lost(self.listed.target)
+
+    def record_lost(self) -> None:
+        """Record an attempt that got no reply."""
+        self.health.record_failure()
+        self.reply_stats.add_lost(self.listed.target)
+
+    def record_load(self, load: TargetLoad) -> None:
+        """Record the load stated in a reply."""
+        self.health.record_load(load)
+        if load.duration_percent is not None:
+            self.reply_stats.add_load(
+                self.listed.target,
+                load.duration_percent / _PERCENT,
+                load.waiting / max(load.slots, 1),
+            )
 
     def record_limit(self, metadata: ReplyMetadata) -> None:
         """Record the limit stated in a reply, or that none is stated."""
@@ -92,8 +109,13 @@
 class Directory:
     """Targets by service, updated by the leader."""
 
-    def __init__(self, on_report_due: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_report_due: Callable[[], None] | None = None,
+        pacer: TargetPacer | None = None,
+    ) -> None:
         """``on_report_due`` is called when statistics should be sent now."""
+        self.pacer = pacer or NoPacing()
         self.source = ''
         self.revision = -1
         self.domains_out: frozenset[str] = frozenset()
@@ -112,6 +134,8 @@
         self._unlisted_limits: dict[str, float] = {}
         # Targets eligible for new requests, by service.
         self._usable: dict[str, list[Target]] = {}
+        # Services of which a target has reported its speed.
+        self._reporting: set[str] = set()
 
     def list_usable(self, service: str) -> Sequence[Target]:
         """Return the targets of a service that may receive new requests."""
@@ -194,7 +218,9 @@
     ) -> None:
         """Record what a target states of itself in a reply."""
         if metadata.load is not None:
-            target.health.record_load(metadata.load)
+            target.record_load(metadata.load)
+            if metadata.load.duration_percent is not None:
+                self._reporting.add(target.listed.service)
         target.record_limit(metadata)
         if metadata.pause_s is not None:
             pause_s = min(metadata.pause_s, _MAX_PAUSE_S)
@@ -242,6 +268,8 @@
         if known is None or known.listed.address != listed.address:
             if known is not None:
                 known.pool.close()
+            if listed.service in self._reporting:
+                self.pacer.start(listed, time.monotonic())
             pool = ConnectionPool(listed.address)
             self._targets[listed.target] = Target(
                 listed,
@@ -257,6 +285,8 @@
         if known.listed.leaving and not listed.leaving:
             # It has started again under its id.
             known.is_leaving = False
+            if listed.service in self._reporting:
+                self.pacer.start(listed, time.monotonic())
         known.listed = listed
         known.cold_until = cold_until
 
@@ -264,6 +294,7 @@
         target = self._targets.pop(name, None)
         if target is not None:
             target.pool.close()
+            self.pacer.remove(name)
             _LOGGER.info('Target gone.', extra=_describe(target.listed))
 
 
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -265,6 +265,7 @@
             context.directory.record_statements,
         )
         context.warm_up.record_sent(target, now)
+        context.directory.pacer.record_sent(target.listed)
         self._live[attempt.future] = attempt
         attempt.future.add_done_callback(self._handle_settled)
         self.selection.record_sent(target)
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -23,6 +23,9 @@
 from shallotgate.gateway._wire import WireCodec
 from shallotgate.routes import Route, RoutingTable, Service
 
+_MS_PER_S = 1000
+# Least duration of work that a pace is derived from, in milliseconds.
+_MIN_WORK_MS = 0.1
 # Part of a target's connection limit that all entries together use.
 _CONNECTIONS_SHARE = 0.8
 # Delay, in medians of the route, from which a reply has met a pause of its
@@ -147,13 +150,38 @@
     def _list_usable(
         self, service: str, pace: Pace, now: float
     ) -> list[Target]:
-        return [
+        usable = [
             target
             for target in self.directory.list_usable(service)
             if now >= target.paused_until
             and self.has_room(target, pace.median_ms, now)
             and self.warm_up.allows(target, now)
         ]
+        return [
+            target
+            for target in usable
+            if self._keeps_pace(target, pace, now, is_last=False)
+        ] or [
+            target
+            for target in usable
+            if self._keeps_pace(target, pace, now, is_last=True)
+        ]
+
+    def _keeps_pace(
+        self, target: Target, pace: Pace, now: float, *, is_last: bool
+    ) -> bool:
+        """Return whether the pace of a target allows a request.
+
+        A limit that it states, and a rate that the table states, go before it.
+        """
+        if target.limit_per_s is not None or self.warm_up.is_stated(
+            target, now
+        ):
+            return True
+        work_s = max(pace.median_ms, _MIN_WORK_MS) / _MS_PER_S
+        return self.directory.pacer.allows(
+            target.listed, work_s, now, is_last=is_last
+        )
 
     def get_idle_timeout_s(self, target: Target) -> float | None:
         """Return how long a connection is kept after use; None for no limit.
--- a/shallotgate/gateway/_reply_stats.py
+++ b/shallotgate/gateway/_reply_stats.py
@@ -1,6 +1,7 @@
 """Reply statistics of targets that are not reported to the leader yet."""
 
 import threading
+from collections import Counter
 from collections.abc import Callable
 
 from shallotgate.generated.messages import ObservedReplies
@@ -10,6 +11,7 @@
 # slow, several such replies in a row do.
 _MAX_SLOWNESS = 4.0
 
+_NO_LOAD: tuple[int, float, float] = (0, 0, 0)
 # Slowness ratio from which a reply counts as an anomaly.
 _SLOW_RATIO = 2.0
 # Anomalies that trigger an immediate report: single ones are normal.
@@ -24,7 +26,8 @@
     >>> reply_stats.add_failure('t-1')
     >>> reply_stats.drain()
     ObservedReplies(targets=['t-1'], replies=[2], slowness=[2], failures=[1], \
-limited=[], limits=[])
+limited=[], limits=[], reports=[], speeds=[], waiting=[], \
+lost=[])
     >>> reply_stats.drain() is None
     True
     """
@@ -39,6 +42,28 @@
         self._totals: dict[str, tuple[int, float, int]] = {}
         # Changed limits of targets; None if a target states none any more.
         self._limits: dict[str, float | None] = {}
+        # Reports of load, total durations of work and total requests waiting
+        # for a slot, by target.
+        self._loads: dict[str, tuple[int, float, float]] = {}
+        # Failures without any reply, by target.
+        self._lost: Counter[str] = Counter()
+
+    def add_load(self, target: str, speed: float, waiting: float) -> None:
+        """Add a reported duration of work and the requests for each slot."""
+        with self._lock:
+            self._totals.setdefault(target, (0, 0, 0))
+            known = self._loads.get(target, _NO_LOAD)
+            self._loads[target] = (
+                known[0] + 1,
+                known[1] + speed,
+                known[2] + waiting,
+            )
+
+    def add_lost(self, target: str) -> None:
+        """Add a failure without any reply."""
+        with self._lock:
+            self._lost[target] += 1
+        self.add_failure(target)
 
     def add_reply(self, target: str, slowness: float) -> None:
         """Add a reply; ``slowness`` is its duration relative to the median."""
@@ -61,9 +86,11 @@
         with self._lock:
             stats = self._totals
             limits = self._limits
-            self._totals = {}
-            self._limits = {}
-            self._anomalies = 0
+            loads = [
+                self._loads.get(name, _NO_LOAD) for name in stats if self._loads
+            ]
+            lost = [self._lost[name] for name in stats if self._lost]
+            self._clear()
         if not stats and not limits:
             return None
         return ObservedReplies(
@@ -76,6 +103,10 @@
                 NO_LIMIT if limit is None else limit
                 for limit in limits.values()
             ],
+            reports=[reports for reports, _, _ in loads],
+            speeds=[round(speed, 2) for _, speed, _ in loads],
+            waiting=[round(waiting, 2) for _, _, waiting in loads],
+            lost=lost,
         )
 
     @property
@@ -83,6 +114,14 @@
         """Whether the statistics should be reported immediately."""
         return self._anomalies >= _REPORT_THRESHOLD
 
+    def _clear(self) -> None:
+        """Forget what is reported now; requires the lock."""
+        self._totals = {}
+        self._limits = {}
+        self._loads = {}
+        self._lost = Counter()
+        self._anomalies = 0
+
     def _add(self, target: str, slowness: float, failures: int) -> None:
         with self._lock:
             known = self._totals.get(target, (0, 0, 0))
--- a/shallotgate/gateway/_warm_up.py
+++ b/shallotgate/gateway/_warm_up.py
@@ -29,6 +29,11 @@
         self._is_share_unknown = bool(per_s) and not entries
         self._generator = generator
 
+    def is_stated(self, target: Target, now: float) -> bool:
+        """Return whether a rate is stated for the target now."""
+        is_rate_stated = self._interval_s > 0 or self._is_share_unknown
+        return is_rate_stated and now < target.cold_until
+
     def allows(self, target: Target, now: float) -> bool:
         """Return whether a request may be sent to the target now."""
         if now >= target.cold_until:
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -41,6 +41,7 @@
     get_retry_budget_policy,
     list_seeds,
 )
+from shallotgate.pacing import PaceLimiter
 from shallotgate.routes import RoutingTable, TableCodec
 from shallotgate.transport import Delivery, Mailbox
 
@@ -74,13 +75,14 @@
         self._is_leaving = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self._metrics = Metrics()
-        self._directory = Directory(self._report_degradation)
+        generator = random.Random()  # noqa: S311 - no secret
+        self._pacer = PaceLimiter(lambda: self._gateway.entries, generator)
+        self._directory = Directory(self._report_degradation, self._pacer)
         self._reported_at = float('-inf')
         self._retry_grants = RetryGrantClient(
             lambda ask: self._follower.send_to_leader(ask),
             lambda: self._gateway.entries,
         )
-        generator = random.Random()  # noqa: S311 - no secret
         self._permits = PermitClient(
             lambda ask: self._follower.send_to_leader(ask),
             lambda: self._gateway.entries,
@@ -178,6 +180,7 @@
             merges_conditions=True,
             entries=self._gateway.entries,
             limits_revision=self._directory.limits_revision,
+            paces_revision=self._pacer.revision,
         )
 
     def _report_degradation(self) -> None:
@@ -254,6 +257,7 @@
         self._directory.apply_conditions(update.conditions)
         if update.limits is not None:
             self._directory.apply_limits(update.limits)
+        self._pacer.apply(update.paces, time.monotonic())
 
 
 def _make_gateway_options(settings: NodeSettings) -> GatewayOptions:
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -14,6 +14,7 @@
     TierUpdate,
 )
 from shallotgate.logs import get_logger
+from shallotgate.pacing import PaceBoard
 from shallotgate.registry._conditions import ConditionTracker
 from shallotgate.registry._entry_counter import EntryCounter
 from shallotgate.registry._listing import ListingPoller
@@ -81,8 +82,9 @@
         # Counts changes that may concern a follower.
         self._changes = 0
         self._conditions = ConditionTracker(random.getrandbits(_REVISION_BITS))
+        self._paces = PaceBoard(random.getrandbits(_REVISION_BITS))
         self._served_term = ServedTerm(
-            log, (self._conditions.reset, limits.reset)
+            log, (self._conditions.reset, limits.reset, self._paces.reset)
         )
         self._is_stopped = False
         self._thread = threading.Thread(
@@ -93,6 +95,12 @@
         mailbox.subscribe(FollowTier, self._on_follow)
         mailbox.subscribe(ObservedReplies, self._on_observed)
         state.subscribe(self._notify_change)
+        # Before the followers are told of the list.
+        listing.subscribe(
+            lambda: self._paces.apply_listing(
+                listing.list_targets(), time.monotonic()
+            )
+        )
         listing.subscribe(self._notify_change)
         log.on_leadership(self._on_leadership)
 
@@ -138,6 +146,7 @@
         now = time.monotonic()
         self._limits.record_replies(observed, now)
         self._conditions.record_replies(observed, now)
+        self._paces.record_replies(observed, now)
 
     def _on_leadership(self, is_leading: bool) -> None:
         self._entry_counter.set_leading(is_leading, time.monotonic())
@@ -246,4 +255,5 @@
                 merges=message.merges_conditions,
             ),
             limits=self._limits.make_update(message.limits_revision),
+            paces=self._paces.make_update(message.paces_revision),
         )
--- a/shallotgate/registry/_listing.py
+++ b/shallotgate/registry/_listing.py
@@ -83,6 +83,11 @@
         """Register a callback for each change; it must not block."""
         self._callbacks.append(callback)
 
+    def list_targets(self) -> Sequence[ListedTarget]:
+        """Return the targets that were read last."""
+        with self._lock:
+            return list(self._targets.values())
+
     def make_update(self, source: str, revision: int) -> ListingUpdate | None:
         """Return the missing changes; None if there are none or no list yet."""
         term = self._get_leading_term()
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -27,6 +27,7 @@
     ListingUpdate,
 )
 from shallotgate.metrics import Metrics
+from shallotgate.pacing import PaceLimiter
 from shallotgate.routes import Route, RoutingTable, Service, WeightedService
 from shallotgate.target_limits import LimitBoard, PermitAllocator
 from testkit.gateway._plain_wire import PlainWire
@@ -71,7 +72,11 @@
 
         ``targets`` are targets shared with other entries, by service.
         """
-        self.directory = Directory()
+        self.pacer = PaceLimiter(
+            lambda: self.gateway.entries,
+            random.Random(seed),  # noqa: S311 - no secret
+        )
+        self.directory = Directory(pacer=self.pacer)
         allowance = RetryBudgetPolicy(ALLOWED_RATIO, slack, WINDOW_S)
         # Retry grants of the leader; None while no leader is known.
         self.pool: RetryGrantPool | None = None
@@ -112,7 +117,7 @@
             ]
             for name in names
         }
-        self._list_targets()
+        self.list_targets()
         fields: dict[str, object] = {
             'is_repeatable': True,
             'timeout_ms': 1000,
@@ -230,7 +235,8 @@
         loop.call_later(_LEADER_LATENCY_S, self._permits.handle_grant, granted)
         return True
 
-    def _list_targets(self) -> None:
+    def list_targets(self, revision: int = 1) -> Sequence[ListedTarget]:
+        """Apply and return a list of the targets."""
         listed = [
             ListedTarget(
                 target=target.name,
@@ -243,9 +249,12 @@
             for number, target in enumerate(targets)
         ]
         self.directory.update(
-            ListingUpdate(source='x', revision=1, full=True, targets=listed),
+            ListingUpdate(
+                source='x', revision=revision, full=True, targets=listed
+            ),
         )
         self.restore_pools()
+        return listed
 
     def restore_pools(self) -> None:
         """Connect targets that were listed anew to the simulated ones."""
--- a/testkit/gateway/_tier.py
+++ b/testkit/gateway/_tier.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import random
+import time
 
 from shallotgate.aio import Response
 from shallotgate.extras import RetryBudgetPolicy, RetryGrantPool
+from shallotgate.generated.messages import TargetPaces
+from shallotgate.pacing import PaceBoard
 from shallotgate.registry import ConditionTracker
 from shallotgate.target_limits import LimitBoard, PermitAllocator
 from testkit.gateway._simulation import (
@@ -53,11 +56,11 @@
             domain=domains[0],
             **fields,  # type: ignore[arg-type]
         )
+        fields['targets'] = first.targets
         others = [
             SimulatedEntry(
                 seed=number,
                 domain=domains[number % len(domains)],
-                targets=first.targets,
                 **fields,  # type: ignore[arg-type]
             )
             for number in range(1, entries)
@@ -68,6 +71,9 @@
             entry.gateway.entries = entries
             entry.pool = pool if has_leader else None
         self._conditions = ConditionTracker(0)
+        self._paces = PaceBoard(0)
+        self._listing_revision = 0
+        self.list_targets()
         self._leader_count = 0
         if has_leader:
             self.begin_leadership(float('-inf'))
@@ -104,6 +110,16 @@
             await asyncio.sleep(1 / per_s)  # noqa: WPS476 - paces requests
         return list(await asyncio.gather(*tasks))
 
+    def list_targets(self) -> None:
+        """List the targets anew for the leader and the entries."""
+        self._listing_revision += 1
+        for entry in self.entries:
+            listed = entry.list_targets(self._listing_revision)
+        now = time.monotonic()
+        self._paces.apply_listing(listed, now)
+        for entry in self.entries:
+            entry.pacer.apply(self._make_paces(entry), now)
+
     async def exchange_reports(self) -> None:
         """Exchange conditions between entries and leader until cancelled."""
         polls = [self._poll_leader(entry) for entry in self.entries]
@@ -135,6 +151,10 @@
                 )
             )
             _apply_limits(entry)
+            entry.pacer.apply(self._make_paces(entry), loop.time())
+
+    def _make_paces(self, entry: SimulatedEntry) -> TargetPaces | None:
+        return self._paces.make_update(entry.pacer.revision)
 
     def _send_report(self, entry: SimulatedEntry) -> None:
         observed = entry.directory.reply_stats.drain()
@@ -142,6 +162,7 @@
             return
         now = asyncio.get_running_loop().time()
         self._conditions.record_replies(observed, now)
+        self._paces.record_replies(observed, now)
         if entry.limits is not None:
             entry.limits.record_replies(observed, now)
 
