--- a/shallotgate/admission/_services.py
+++ b/shallotgate/admission/_services.py
@@ -19,9 +19,10 @@
 _MS_PER_S = 1000
 # Weight of the newest reply in the mean duration of the work of all kinds.
 _NEWEST_WEIGHT = 0.1
-# Part of failed attempts from which a target counts as failing: with two
-# attempts at such targets, half of the requests get no reply of the shard.
-_FAILING_SHARE = 0.7
+# Part of failed attempts from which a target counts as failing. The leader adds
+# two replies to each target, so that one that always fails is reported at 0.6
+# to 0.75 at 20 attempts a second.
+_FAILING_SHARE = 0.55
 # Targets that are kept at most: several times the replicas of a service, as
 # targets that were replaced are forgotten only by this bound.
 _MAX_TARGETS = 64
--- a/shallotgate/gateway/_admission.py
+++ b/shallotgate/gateway/_admission.py
@@ -1,5 +1,6 @@
 """Admission of caller requests by what replies report of the targets."""
 
+import math
 import random
 import time
 from collections.abc import Mapping, Sequence
@@ -93,17 +94,16 @@
         Returns whether the target counts as silent.
         """
         now = time.monotonic()
-        if target.health.last_report is None:
-            return False
-        load, reported_at = target.health.last_report
         listed = target.listed
-        if reported_at < now:
+        load, reported_at = target.health.last_report or (None, -math.inf)
+        if load is None or reported_at < now:
             self._book.record_silence(
                 listed.service, listed.target, duration_ms, now
             )
             kind = self._book.kinds.by_name.get(route)
             return (
                 kind is not None
+                and self._book.knows_any((listed.service,))
                 and duration_ms > kind.objective_ms * _SILENT_OBJECTIVES
             )
         report = LoadReport(
