--- a/shallotgate/account_limits/_shares.py
+++ b/shallotgate/account_limits/_shares.py
@@ -162,7 +162,11 @@
 
     def get_usage(self, account: ClientAccount, now: float) -> float:
         """Return how much of its limit an account has asked for lately."""
-        share = self._shares.get(account.name)
+        return self.get_used_share(account.name, now)
+
+    def get_used_share(self, account: str, now: float) -> float:
+        """Return the same by the name of the account."""
+        share = self._shares.get(account)
         return share.read_usage(now) if share else 0
 
     def _get(self, account: ClientAccount, now: float) -> AccountShare:
--- a/shallotgate/gateway/_account_quotas.py
+++ b/shallotgate/gateway/_account_quotas.py
@@ -105,6 +105,10 @@
         """
         return self._shares.get_usage(account, time.monotonic())
 
+    def get_used_share(self, account: str, now: float) -> float:
+        """Return the usage of an account by its name, for ``AccountUsage``."""
+        return self._shares.get_used_share(account, now)
+
     def set_limits(self, accounts: Sequence[ClientAccount]) -> None:
         """Apply the limits of another table to what is held."""
         self._shares.set_limits(accounts, time.monotonic())
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -4,22 +4,35 @@
 import time
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from shallotgate.extras import RetryBudget
 from shallotgate.gateway._active_table import retain_known
+from shallotgate.gateway._admission import RequestAdmission
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
+from shallotgate.gateway._pauses import PauseEstimate
 from shallotgate.gateway._permits import PermitSource
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
-from shallotgate.gateway._target_chooser import Pace, TargetChooser
+from shallotgate.gateway._target_chooser import (
+    Pace,
+    TargetChooser,
+    estimate_duration_ms,
+)
 from shallotgate.gateway._warm_up import WarmUpLimiter
 from shallotgate.gateway._wire import WireCodec
 from shallotgate.routes import Route, RoutingTable, Service
 
+_MS_PER_S = 1000
+# Least duration of work that a pace is derived from, in milliseconds.
+_MIN_WORK_MS = 0.1
 # Part of a target's connection limit that all entries together use.
 _CONNECTIONS_SHARE = 0.8
+# Delay, in medians of the route, from which a reply has met a pause of its
+# target and not just the usual variance.
+_PAUSE_MEDIANS = 1.0
 # Initial estimate of the reply duration, as a share of the objective. The first
 # replies of an entry also include connection setup.
 _INITIAL_LATENCY_SHARE = 0.25
@@ -51,6 +64,8 @@
     permits: PermitSource
     # Durations of recent replies to the route.
     latency: LatencyWindow
+    # Pauses that replies to the route have shown.
+    pauses: PauseEstimate
     # Failure domain of this entry.
     domain: str
     # Maximum connections of this entry to one target.
@@ -61,6 +76,11 @@
     are_connections_scarce: bool
     warm_up: WarmUpLimiter
     on_event: Callable[[str], None]
+    # Takes each duration for the admission of requests; returns whether it is
+    # that of an attempt without a reply, which counts as a failure.
+    record_for_admission: Callable[[Target, float], bool]
+    # Returns whether a second attempt may be sent to a service with targets.
+    allows_extra: Callable[[str, Sequence[Target]], bool]
 
     def choose(
         self,
@@ -75,7 +95,7 @@
         ``may_use_limited`` is whether one that states a limit is considered.
         """
         now = time.monotonic()
-        pace = Pace(self.latency.quantile(0.5), objective_ms)
+        pace = self._make_pace(objective_ms)
         usable = [
             target
             for target in self._list_usable(service, pace, now)
@@ -88,7 +108,7 @@
     ) -> Sequence[Target]:
         """Return the targets with a limit that were not tried, best first."""
         now = time.monotonic()
-        pace = Pace(self.latency.quantile(0.5), objective_ms)
+        pace = self._make_pace(objective_ms)
         limited = [
             target
             for target in self._list_usable(service, pace, now)
@@ -98,9 +118,29 @@
 
     def record_reply(self, target: Target, duration_ms: float) -> None:
         """Record the duration of a reply, or a lower bound of it."""
-        target.record_reply(duration_ms, self.latency.quantile(0.5))
+        if self.record_for_admission(target, duration_ms):
+            target.record_failure()
+            return
+        median_ms = self.latency.quantile(0.5)
+        if target.health.speed.is_reported:
+            factor = target.health.speed.estimate_factor(time.monotonic())
+            delay_ms = duration_ms - median_ms * factor
+            if delay_ms > median_ms * _PAUSE_MEDIANS:
+                self.pauses.record(delay_ms)
+        target.record_reply(duration_ms, median_ms)
         self.latency.add(duration_ms)
 
+    def estimate_ms(
+        self, target: Target, objective_ms: float, now: float
+    ) -> float | None:
+        """Return the expected duration of an attempt that starts now.
+
+        None if the target does not report its speed.
+        """
+        if not target.health.speed.is_reported:
+            return None
+        return estimate_duration_ms(target, self._make_pace(objective_ms), now)
+
     def has_room(self, target: Target, median_ms: float, now: float) -> bool:
         """Return whether the target may receive another request.
 
@@ -114,16 +154,54 @@
         is_waiting = health.get_stall_ms(now) > median_ms
         return len(health.in_flight) < self.max_concurrent and not is_waiting
 
+    def list_open(self, service: str, objective_ms: float) -> list[Target]:
+        """Return the targets that may receive a request now."""
+        now = time.monotonic()
+        pace = self._make_pace(objective_ms)
+        return [
+            target
+            for target in self._list_usable(service, pace, now)
+            if not target.health.is_down(now)
+        ]
+
+    def _make_pace(self, objective_ms: float) -> Pace:
+        return Pace(self.latency.quantile(0.5), objective_ms, self.pauses)
+
     def _list_usable(
         self, service: str, pace: Pace, now: float
     ) -> list[Target]:
-        return [
+        usable = [
             target
             for target in self.directory.list_usable(service)
             if now >= target.paused_until
             and self.has_room(target, pace.median_ms, now)
             and self.warm_up.allows(target, now)
         ]
+        return [
+            target
+            for target in usable
+            if self._keeps_pace(target, pace, now, is_last=False)
+        ] or [
+            target
+            for target in usable
+            if self._keeps_pace(target, pace, now, is_last=True)
+        ]
+
+    def _keeps_pace(
+        self, target: Target, pace: Pace, now: float, *, is_last: bool
+    ) -> bool:
+        """Return whether the pace of a target allows a request.
+
+        A limit that it states, and a rate that the table states, go before it.
+        """
+        if target.limit_per_s is not None or self.warm_up.is_stated(
+            target, now
+        ):
+            return True
+        work_s = max(pace.median_ms, _MIN_WORK_MS) / _MS_PER_S
+        return self.directory.pacer.allows(
+            target.listed, work_s, now, is_last=is_last
+        )
 
     def get_idle_timeout_s(self, target: Target) -> float | None:
         """Return how long a connection is kept after use; None for no limit.
@@ -169,6 +247,7 @@
         reporter: RequestReporter,
         retry_grants: RetryGrantSource,
         permits: PermitSource,
+        admission: RequestAdmission,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -177,10 +256,12 @@
         self._reporter = reporter
         self._retry_grants = retry_grants
         self._permits = permits
+        self._admission = admission
         self._chooser = TargetChooser(options.domain, generator)
         self._started_at = time.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyWindow] = {}
+        self._pauses: dict[str, PauseEstimate] = {}
         self._contexts: dict[tuple[str, str], DispatchContext] = {}
         # Number of entries that share the limits of the targets; 0 if unknown.
         self.entries = 0
@@ -189,6 +270,7 @@
         """Set the number of entries that share the limits."""
         if count != self.entries:
             self.entries = count
+            self._admission.entries = count
             self._contexts.clear()
 
     def apply_table(self, table: RoutingTable) -> None:
@@ -197,6 +279,7 @@
         The budget of a service that may be named again soon is kept.
         """
         self._contexts.clear()
+        self._admission.apply_table(table)
         now = time.monotonic()
         services = {service.name for service in table.services}
         routes = {route.name for route in table.routes}
@@ -207,6 +290,7 @@
         }
         self._budgets = retain_known(self._budgets, services | spent)
         self._latencies = retain_known(self._latencies, routes)
+        self._pauses = retain_known(self._pauses, routes)
 
     def get(self, route: Route, service: Service) -> DispatchContext:
         """Return the context of a route's requests to a service."""
@@ -239,6 +323,7 @@
             retry_grants=self._retry_grants,
             permits=self._permits,
             latency=self.get_latency(route),
+            pauses=self._pauses.setdefault(route.name, PauseEstimate()),
             domain=self._options.domain,
             max_connections=max(int(connections), 1),
             max_concurrent=max_concurrent,
@@ -249,6 +334,10 @@
                 self._generator,
             ),
             on_event=self._reporter.count,
+            record_for_admission=partial(
+                self._admission.record_reply, route.name
+            ),
+            allows_extra=self._admission.allows_extra,
         )
 
     def _get_budget(self, service: str) -> RetryBudget:
