--- a/shallotgate/aio/_target_connection.py
+++ b/shallotgate/aio/_target_connection.py
@@ -11,7 +11,6 @@
 from shallotgate.aio._message import Headers
 from shallotgate.aio._reply_limits import ReplyLimits, ReplyMeter
 from shallotgate.errors import (
-    ReplyLimitError,
     TargetConnectError,
     TargetLostError,
     TargetProtocolError,
@@ -22,6 +21,10 @@
 # because a request that crosses the close may or may not have run.
 _KEEP_ALIVE_MARGIN_S = 0.5
 _CLOSE = b'close'
+_FINAL_STATUSES = range(200, 600)
+# Others than 101, which ends HTTP on the connection.
+_INTERIM_STATUSES = frozenset((100, *range(102, 200)))
+_VERSIONS = frozenset(('1.0', '1.1'))
 # Digits of the longest number of seconds that is read.
 _MAX_DIGITS = 9
 
@@ -124,10 +127,10 @@
         self._meter.add_received(len(data))
         try:
             self._parse(data)
-        except ReplyLimitError as error:
+        except TargetProtocolError as error:
             # Another one: the traceback refers to the received bytes, and the
             # request keeps the errors of its attempts until it ends.
-            self._fail(ReplyLimitError(str(error)))
+            self._fail(type(error)(str(error)))
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
@@ -159,11 +162,14 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take up a header."""
+        if not self._headers:
+            _check_status(self._parser)
         self._meter.add_header()
         self._headers.append((name, text))
 
     def on_headers_complete(self) -> None:
         """Read the framing and keep-alive headers."""
+        _check_status(self._parser)
         self._has_headers = True
         self._expects_close = not self._parser.should_keep_alive()
         for name, text in self._headers:
@@ -190,7 +196,7 @@
         status = self._parser.get_status_code()
         if self._waiter is None:
             return
-        if status < 200:
+        if status not in _FINAL_STATUSES:
             self._meter.add_skipped()
             return
         if self._is_own is not None and not self._is_own(self._headers):
@@ -210,11 +216,11 @@
             self.close()
 
     def _parse(self, data: bytes) -> None:
-        """Feed the parser; raises ``ReplyLimitError`` or a parser error."""
+        """Feed the parser; raises ``TargetProtocolError`` or a parser error."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
-            if isinstance(error.__context__, ReplyLimitError):
+            if isinstance(error.__context__, TargetProtocolError):
                 raise error.__context__ from error
             raise
         self._meter.check_head()
@@ -247,3 +253,14 @@
         if key.lower() == b'timeout' and is_number:
             return max(int(seconds) - _KEEP_ALIVE_MARGIN_S, 0)
     return float('inf')
+
+
+def _check_status(parser: httptools.HttpResponseParser) -> None:
+    """Raise ``TargetProtocolError`` unless HTTP/1.x defines the status."""
+    status = parser.get_status_code()
+    version = parser.get_http_version()
+    is_known = status in _FINAL_STATUSES or status in _INTERIM_STATUSES
+    if version not in _VERSIONS or not is_known:
+        raise TargetProtocolError(
+            f'not a reply: HTTP/{version} with status {status}',
+        )
--- a/shallotgate/aio/tests/test_target_connection.py
+++ b/shallotgate/aio/tests/test_target_connection.py
@@ -7,7 +7,12 @@
 import pytest
 
 from shallotgate.aio import TargetConnection
-from shallotgate.errors import TargetConnectError, TargetError
+from shallotgate.errors import (
+    TargetConnectError,
+    TargetError,
+    TargetProtocolError,
+)
+from shallotgate.http_client.tests.invalid_replies import INTERIM, INVALID
 
 OWN = b'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok'
 OTHER = b'HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nbad'
@@ -145,3 +150,39 @@
 
     with pytest.raises(TargetConnectError):
         asyncio.run(play())
+
+
+@pytest.mark.parametrize('kind', INVALID)
+def test_invalid_reply_fails_at_once_and_ends_the_connection(kind):
+    """Guards against a caller that gets status 000 from a faulty target."""
+
+    async def play():
+        # Never closes by itself, so that only the reply can end the attempt.
+        async def answer(reader, writer):
+            await reader.read(100)
+            writer.write(INVALID[kind])
+            assert not await reader.read(100)
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await TargetConnection.open(
+            f'127.0.0.1:{port}', 1, lambda _: None
+        )
+        try:
+            with pytest.raises(TargetProtocolError):
+                await asyncio.wait_for(
+                    connection.send(b'x', matches_request), 2
+                )
+            assert not connection.is_usable
+        finally:
+            connection.close()
+            await asyncio.sleep(0.05)
+            server.close()
+
+    asyncio.run(play())
+
+
+def test_interim_replies_are_skipped():
+    reply, _ = exchange(INTERIM + OWN)
+    assert (reply.status, reply.body) == (200, b'ok')
--- a/shallotgate/http_client/__init__.py
+++ b/shallotgate/http_client/__init__.py
@@ -9,6 +9,7 @@
     HttpResponse,
     MeteredSocket,
 )
+from shallotgate.http_client._response import StrictResponse
 
 __all__ = (
     'ExchangeLimits',
@@ -18,4 +19,5 @@
     'HttpExchangeError',
     'HttpResponse',
     'MeteredSocket',
+    'StrictResponse',
 )
--- a/shallotgate/http_client/_client.py
+++ b/shallotgate/http_client/_client.py
@@ -13,10 +13,11 @@
 from typing import Any
 
 import urllib3
-from urllib3.connection import HTTPConnection
-from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
 
 from shallotgate.errors import ShallotgateError
+from shallotgate.http_client._response import StrictResponse
 
 _BYTES_PER_MIB = 1024 * 1024
 _MIN_TIMEOUT_S = 0.001
@@ -162,6 +163,7 @@
         self._pool.pool_classes_by_scheme = {
             **self._pool.pool_classes_by_scheme,
             'http': _make_pool_class(self._meter),
+            'https': _StrictHTTPSPool,
         }
 
     def close(self) -> None:
@@ -189,8 +191,21 @@
         )
 
 
+class _StrictHTTPSConnection(HTTPSConnection):
+    # Name of the standard library.
+    response_class = StrictResponse
+
+
+class _StrictHTTPSPool(HTTPSConnectionPool):
+    # Name of urllib3.
+    ConnectionCls = _StrictHTTPSConnection  # noqa: WPS115
+
+
 def _make_pool_class(meter: ExchangeMeter) -> type[HTTPConnectionPool]:
     class MeteredConnection(HTTPConnection):  # noqa: WPS431
+        # Name of the standard library.
+        response_class = StrictResponse
+
         def connect(self) -> None:
             super().connect()
             if self.sock is not None:
--- a/shallotgate/http_client/tests/test_client.py
+++ b/shallotgate/http_client/tests/test_client.py
@@ -10,6 +10,7 @@
     HttpConnectError,
     HttpExchangeError,
 )
+from shallotgate.http_client.tests.invalid_replies import INTERIM, INVALID
 from shallotgate.http_client.tests.raw_server import (
     ENDLESS,
     STATUS,
@@ -76,3 +77,17 @@
         pass
     with pytest.raises(HttpConnectError):
         request(server)
+
+
+@pytest.mark.parametrize('kind', INVALID)
+def test_invalid_response_fails(kind):
+    """Guards against a list that is read from a reply of unclear framing."""
+    invalid = serve_bytes(INVALID[kind])
+    with invalid as server, pytest.raises(HttpExchangeError):
+        request(server)
+
+
+def test_interim_responses_are_skipped():
+    with serve_bytes(INTERIM + WHOLE) as server:
+        response = request(server)
+    assert (response.status, response.body) == (200, b'hello')
--- a/shallotgate/targets/_http.py
+++ b/shallotgate/targets/_http.py
@@ -22,7 +22,12 @@
 )
 from shallotgate.generated.catalogue import Target
 from shallotgate.generated.messages import Attempt, TargetVersion
-from shallotgate.http_client import ExchangeLimits, ExchangeMeter, MeteredSocket
+from shallotgate.http_client import (
+    ExchangeLimits,
+    ExchangeMeter,
+    MeteredSocket,
+    StrictResponse,
+)
 from shallotgate.targets._connector import TargetReply, TargetReport
 
 MAX_REPLY_BYTES = 8 * 1024 * 1024
@@ -113,6 +118,9 @@
     wrapper, which small JSON replies don't need.
     """
 
+    # Name of the standard library.
+    response_class = StrictResponse
+
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port)
         self.meter = ExchangeMeter()
@@ -247,6 +255,8 @@
         try:
             return self._send_and_read(method, path, body)
         except (OSError, ValueError, http_client.HTTPException) as error:
+            # What follows can't be told from the rest of this reply.
+            self._is_closed = True
             raise _translate_error(error) from error
         finally:
             self._finish_exchange()
--- a/shallotgate/targets/tests/test_http_connector.py
+++ b/shallotgate/targets/tests/test_http_connector.py
@@ -14,9 +14,10 @@
     TargetTimeoutError,
 )
 from shallotgate.generated.catalogue import Target
+from shallotgate.http_client.tests.invalid_replies import INTERIM, INVALID
 from shallotgate.http_client.tests.raw_server import ENDLESS, serve_bytes
 from shallotgate.targets import HttpTargetConnector
-from shallotgate.targets._http import _read_report
+from shallotgate.targets._http import HttpConnection, _read_report
 from shallotgate.targets.tests.fakes import WAIT_S, Rig, wait_until
 from testkit.standin import StandinProcess, make_matches
 
@@ -331,3 +332,26 @@
     )
     with pytest.raises(TargetProtocolError):
         _read_report(report)
+
+
+@pytest.mark.parametrize('kind', INVALID)
+def test_invalid_reply_is_a_fault_and_closes_the_connection(kind):
+    """Guards against work whose outcome is read from an invalid reply."""
+    with serve_bytes(INVALID[kind]) as server:
+        host, _, port = server.address.rpartition(':')
+        connection = HttpConnection(host, int(port))
+        with pytest.raises(TargetProtocolError, match='invalid HTTP'):
+            connection.open(1)
+        with pytest.raises(TargetConnectError):
+            connection.read_report(1)
+        connection.close()
+
+
+def test_interim_replies_are_skipped():
+    reply = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno'
+    with serve_bytes(INTERIM + reply) as server:
+        host, _, port = server.address.rpartition(':')
+        connection = HttpConnection(host, int(port))
+        with pytest.raises(TargetProtocolError, match='invalid report'):
+            connection.open(1)
+        connection.close()
