--- a/shallotgate/aio/_message.py
+++ b/shallotgate/aio/_message.py
@@ -1,5 +1,6 @@
 """Requests and responses."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -34,6 +35,8 @@
     # Seconds that the caller waited before, and waits for the answer's way, as
     # far as the connection's round-trip time tells; 0 if it is unknown.
     network_s: float = 0
+    # Whether the caller expects the connection to stay open.
+    keeps_open: bool = True
 
     def read_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name is in lower case."""
@@ -66,3 +69,16 @@
             lines.append(b'Connection: close')
         head = _LINE_END.join(lines) + _LINE_END + _LINE_END
         return head + self.body if has_body else head
+
+
+Handler = Callable[[IncomingRequest], Awaitable[Response]]
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """What a caller may send, and how long it may take."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 256 * 1024
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15000
