--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -6,7 +6,11 @@
 from shallotgate.registry._crashes import CrashTracker
 from shallotgate.registry._followers import FollowerService
 from shallotgate.registry._listing import ListingPoller, TargetListing
-from shallotgate.registry._operators import OperatorService, OrderResult
+from shallotgate.registry._operators import (
+    OperatorService,
+    OrderResult,
+    RolloutOrder,
+)
 from shallotgate.registry._permits import PermitService
 from shallotgate.registry._retry_grants import RetryGrantService
 from shallotgate.registry._state import RegistryState
@@ -23,5 +27,6 @@
     'RegistryClient',
     'RegistryState',
     'RetryGrantService',
+    'RolloutOrder',
     'TargetListing',
 )
--- a/shallotgate/registry/_client.py
+++ b/shallotgate/registry/_client.py
@@ -95,6 +95,14 @@
         """
         return self._state.read().domains_revision
 
+    def get_rollout_order(self, service: str) -> int:
+        """Return the number of the newest order known here; 0 without one.
+
+        The leader may know a newer one.
+        """
+        rollout = self._state.read().rollouts.find(service)
+        return rollout.order if rollout else 0
+
     def read_table(self, timeout_s: float) -> CurrentTable:
         """Return the active table; raises ``ConsensusError`` if unconfirmed."""
         deadline = time.monotonic() + timeout_s
--- a/shallotgate/registry/_listed_targets.py
+++ b/shallotgate/registry/_listed_targets.py
@@ -52,6 +52,8 @@
     """
     texts = (target.target, target.service, target.domain, target.address)
     yield from _iter_text_faults(texts)
+    if len(target.version) > _MAX_TEXT_LENGTH:
+        yield f'the version is longer than {_MAX_TEXT_LENGTH} characters'
     host, _, port = target.address.rpartition(':')
     if not host:
         yield 'the address must name host and port'
--- a/shallotgate/registry/_operators.py
+++ b/shallotgate/registry/_operators.py
@@ -3,14 +3,18 @@
 import asyncio
 import time
 import zlib
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import asdict, dataclass
 
 from shallotgate.errors import ConsensusError, Finding, FindingsError
 from shallotgate.generated.messages import (
     DomainOutcome,
     PublishTable,
+    ReadRollout,
+    RolloutStatus,
     SetDomainOut,
+    StartRollout,
+    StartRolloutOutcome,
 )
 from shallotgate.logs import get_logger
 from shallotgate.registry._client import CurrentTable, RegistryClient
@@ -25,14 +29,28 @@
 class OrderResult:
     """Result of an operator's command."""
 
-    # ``accepted``, ``faulty`` (rejected by validation) or ``in_doubt`` (outcome
-    # unknown).
+    # ``accepted``, ``faulty`` (rejected by validation), ``in_progress`` (the
+    # service has another rollout) or ``in_doubt`` (outcome unknown).
     status: str
     findings: tuple[Finding, ...] = ()
 
 
 _ACCEPTED = OrderResult('accepted')
 _UNKNOWN = OrderResult('in_doubt')
+_IN_PROGRESS = OrderResult('in_progress')
+# Longest service name and version of a rollout.
+_MAX_TEXT_LENGTH = 1024
+# Longest duration of a rollout, in seconds.
+_MAX_ROLLOUT_S = 7 * 24 * 3600
+
+
+@dataclass(frozen=True)
+class RolloutOrder:
+    """Order of a rollout as an operator gives it."""
+
+    service: str
+    target_version: str
+    duration_s: float
 
 
 class OperatorService:
@@ -110,6 +128,59 @@
                 return result
             revision = outcome.revision
 
+    async def start_rollout(
+        self,
+        order: RolloutOrder,
+        *,
+        confirm_caller: Callable[[], Awaitable[None]],
+    ) -> OrderResult:
+        """Order the move of a service to another version.
+
+        As with a domain, an order whose caller has left must not undo a later
+        one, so it names the newest order known before the caller was seen.
+        """
+        findings = tuple(_iter_faults(order))
+        if findings:
+            _LOGGER.warning('Rollout rejected: %s', FindingsError(findings))
+            return OrderResult('faulty', findings)
+        deadline = time.monotonic() + _COMMIT_TIMEOUT_S
+        base_order = self._client.get_rollout_order(order.service)
+        while True:
+            await confirm_caller()
+            timeout_s = deadline - time.monotonic()
+            if timeout_s <= 0:
+                return _UNKNOWN
+            command = StartRollout(
+                service=order.service,
+                target_version=order.target_version,
+                duration_s=order.duration_s,
+                base_order=base_order,
+            )
+            result, outcome = await asyncio.to_thread(
+                self._commit, command, timeout_s, asdict(command)
+            )
+            if not isinstance(outcome, StartRolloutOutcome):
+                return result
+            if outcome.status != 'outdated':
+                is_refused = outcome.status == 'in_progress'
+                return _IN_PROGRESS if is_refused else result
+            base_order = outcome.order
+
+    def read_rollout(self, service: str) -> RolloutStatus | None:
+        """Return the newest order on a service; None if unconfirmed.
+
+        Its number is 0 if there is none. The read is a record of the log, so
+        that it sees all orders acknowledged before.
+        """
+        try:
+            outcome = self._client.commit(
+                ReadRollout(service=service), _COMMIT_TIMEOUT_S
+            )
+        except ConsensusError as error:
+            _LOGGER.warning('Rollout cannot be confirmed: %s.', error)
+            return None
+        return outcome if isinstance(outcome, RolloutStatus) else None
+
     def read(self) -> CurrentTable | None:
         """Return the active table, or None if it cannot be confirmed."""
         try:
@@ -139,3 +210,19 @@
             extra={**log_fields, 'outcome': str(outcome)},
         )
         return _ACCEPTED, outcome
+
+
+def _iter_faults(order: RolloutOrder) -> Iterator[Finding]:
+    for text in (order.service, order.target_version):
+        if not 0 < len(text) <= _MAX_TEXT_LENGTH:
+            yield Finding(
+                'rollout',
+                order.service[:_MAX_TEXT_LENGTH],
+                'service and version must not be empty or too long',
+            )
+    if not 0 < order.duration_s <= _MAX_ROLLOUT_S:
+        yield Finding(
+            'rollout',
+            order.service[:_MAX_TEXT_LENGTH],
+            f'the duration must be above 0 and up to {_MAX_ROLLOUT_S} s',
+        )
--- a/shallotgate/registry/_state.py
+++ b/shallotgate/registry/_state.py
@@ -1,4 +1,4 @@
-"""Replicated state: routing table and failure domains out of service."""
+"""Replicated state: routing table, domains out of service, rollouts."""
 
 import threading
 from collections.abc import Callable
@@ -13,12 +13,18 @@
     SetDomainOut,
 )
 from shallotgate.logs import get_logger
+from shallotgate.rollouts import (
+    ROLLOUT_COMMANDS,
+    RolloutCommand,
+    RolloutRecords,
+    apply_command,
+)
 
 _LOGGER = get_logger('registry')
 
 
 class Registry(msgspec.Struct, frozen=True):
-    """Active routing table and failure domains out of service."""
+    """Active routing table, domains out of service and rollouts."""
 
     # Version of the table; -1 if there is none.
     version: int = -1
@@ -28,6 +34,8 @@
     domains_revision: int = 0
     # Failure domains whose targets receive no new work, sorted.
     domains_out: tuple[str, ...] = ()
+    # Absent from snapshots of builds without rollouts.
+    rollouts: RolloutRecords = RolloutRecords()
 
 
 class RegistryState:
@@ -54,6 +62,8 @@
             return self._publish(decoded)
         if isinstance(decoded, SetDomainOut):
             return self._set_domain(index, decoded)
+        if isinstance(decoded, ROLLOUT_COMMANDS):
+            return self._apply_rollout(index, decoded)
         return None
 
     def snapshot(self) -> bytes:
@@ -118,6 +128,13 @@
         )
         return DomainOutcome(revision=index, accepted=True)
 
+    def _apply_rollout(self, index: int, command: RolloutCommand) -> object:
+        registry = self.read()
+        rollouts, outcome = apply_command(registry.rollouts, index, command)
+        if rollouts != registry.rollouts:
+            self._replace(msgspec.structs.replace(registry, rollouts=rollouts))
+        return outcome
+
     def _replace(self, registry: Registry) -> None:
         with self._lock:
             self._registry = registry
--- a/shallotgate/registry/tests/test_operators.py
+++ b/shallotgate/registry/tests/test_operators.py
@@ -3,8 +3,8 @@
 import pytest
 
 from shallotgate.errors import CommitUnknownError
-from shallotgate.generated.messages import DomainOutcome
-from shallotgate.registry import OperatorService
+from shallotgate.generated.messages import DomainOutcome, StartRolloutOutcome
+from shallotgate.registry import OperatorService, RolloutOrder
 
 
 class FakeClient:
@@ -18,6 +18,9 @@
     def get_domains_revision(self):
         return self.revision
 
+    def get_rollout_order(self, service):
+        return self.revision
+
     def commit(self, command, timeout_s):
         self.commands.append(command)
         outcome = self.outcomes.pop(0)
@@ -103,3 +106,47 @@
     with pytest.raises(StopIteration):
         call.send(None)
     assert not client.commands
+
+
+def start_rollout(client, duration_s=30.0):
+    service = OperatorService(client, codec=None)
+    order = RolloutOrder('s', 'v2', duration_s)
+    call = service.start_rollout(order, confirm_caller=confirm)
+    return asyncio.run(call).status
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'status'),
+    [
+        ('started', 'accepted'),
+        ('repeated', 'accepted'),
+        ('in_progress', 'in_progress'),
+    ],
+)
+def test_rollout_is_acknowledged_unless_another_one_runs(outcome, status):
+    """Guards against refusing an order that is sent again."""
+    outcomes = [StartRolloutOutcome(status=outcome, order=9)]
+    assert start_rollout(FakeClient(outcomes)) == status
+
+
+def test_rollout_is_repeated_on_a_newer_order_while_the_caller_waits():
+    """Guards against an order that is dropped or undoes a later one."""
+    client = FakeClient(
+        [
+            StartRolloutOutcome(status='outdated', order=7),
+            StartRolloutOutcome(status='started', order=9),
+        ]
+    )
+    assert start_rollout(client) == 'accepted'
+    assert [command.base_order for command in client.commands] == [4, 7]
+
+
+def test_rollout_without_a_usable_duration_is_not_committed():
+    client = FakeClient([])
+    assert start_rollout(client, 0) == 'faulty'
+    assert start_rollout(client, float('nan')) == 'faulty'
+    assert not client.commands
+
+
+def test_rollout_without_a_known_outcome_is_in_doubt():
+    assert start_rollout(FakeClient([CommitUnknownError('no')])) == 'in_doubt'
--- a/shallotgate/registry/tests/test_state.py
+++ b/shallotgate/registry/tests/test_state.py
@@ -1,7 +1,13 @@
+import msgspec
 import pytest
 
 from shallotgate.codec import encode_tagged
-from shallotgate.generated.messages import PublishTable, SetDomainOut
+from shallotgate.generated.messages import (
+    PublishTable,
+    RecordVersions,
+    SetDomainOut,
+    StartRollout,
+)
 from shallotgate.registry import RegistryState
 
 
@@ -41,6 +47,30 @@
     assert restored.read().domains_out == ('a',)
 
 
+def test_snapshot_holds_rollouts_and_versions(state):
+    versions = RecordVersions(services=['s'], versions=['v1'])
+    state.apply(3, encode_tagged(versions))
+    order = StartRollout(service='s', target_version='v2', duration_s=30)
+    assert state.apply(4, encode_tagged(order)).status == 'started'
+    restored = RegistryState()
+    restored.restore(state.snapshot())
+    assert restored.read() == state.read()
+    assert restored.read().rollouts.find('s').previous_version == 'v1'
+
+
+def test_snapshot_of_a_build_without_rollouts_loads(state):
+    """Guards against members that cannot start after an upgrade."""
+    former = {
+        'version': 5,
+        'document': b'first',
+        'domains_revision': 9,
+        'domains_out': ['a'],
+    }
+    state.restore(msgspec.msgpack.encode(former))
+    assert state.read().version == 5
+    assert state.read().rollouts.orders == ()
+
+
 def test_repeated_order_keeps_the_revision(state):
     """Guards against unchanged domains that are sent to entries again."""
     command = encode_tagged(SetDomainOut(domain='a', out=True))
