--- a/shallotgate/gateway/__init__.py
+++ b/shallotgate/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from shallotgate.gateway._blocklist import ContentBlocklist
 from shallotgate.gateway._directory import Directory, Target
+from shallotgate.gateway._exposure_client import ExposureClient
 from shallotgate.gateway._fan_out import merge_records
 from shallotgate.gateway._follower import TierFollower
 from shallotgate.gateway._gateway import Gateway
@@ -21,6 +22,7 @@
     'CallerRequest',
     'ContentBlocklist',
     'Directory',
+    'ExposureClient',
     'Gateway',
     'GatewayOptions',
     'PermitClient',
--- a/shallotgate/gateway/_attempt.py
+++ b/shallotgate/gateway/_attempt.py
@@ -3,12 +3,14 @@
 import asyncio
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 from shallotgate.aio import Reply, TargetConnection
 from shallotgate.errors import (
     ReplyLimitError,
     TargetConnectError,
     TargetError,
+    TargetProtocolError,
 )
 from shallotgate.gateway._call import Call
 from shallotgate.gateway._directory import Target
@@ -29,6 +31,24 @@
 _MS_PER_S = 1000
 
 
+class ReplyRecorder(Protocol):
+    """Takes the results of attempts."""
+
+    def record_reply(self, target: Target, duration_ms: float) -> None:
+        """Record the duration of a reply, or a lower bound of it."""
+
+    def record_result(
+        self, target: Target, duration_ms: float, connect_ms: float
+    ) -> None:
+        """Count a good reply, for the comparison of versions.
+
+        The duration is that without the time to set up the connection.
+        """
+
+    def record_failed_reply(self, target: Target) -> None:
+        """Count a reply that is a failure, for the same comparison."""
+
+
 class Attempt:
     """Sends a request to a target and releases its connection afterwards."""
 
@@ -37,7 +57,7 @@
         wire: WireCodec,
         call: Call,
         target: Target,
-        on_reply: Callable[[Target, float], None],
+        recorder: ReplyRecorder,
         get_idle_timeout_s: Callable[[Target], float | None],
         on_statements: Callable[[Target, ReplyMetadata], None],
     ) -> None:
@@ -53,10 +73,14 @@
         self.is_sent = False
         self._wire = wire
         self._call = call
-        self._on_reply = on_reply
+        self._recorder = recorder
         self._get_idle_timeout_s = get_idle_timeout_s
         self._on_statements = on_statements
         self._connection: TargetConnection | None = None
+        # Monotonic time at which the request was sent.
+        self._sent_at: float = 0
+        # Time to set up the connection; 0 for one that was used before.
+        self._connect_ms: float = 0
         self._is_aborted = False
         # Whether the connection took too long to wait for it.
         self._is_connect_overdue = False
@@ -96,12 +120,14 @@
     async def _connect_and_send(self) -> Reply:
         timeout_s = min(_CONNECT_TIMEOUT_S, max(self._call.remaining_s(), 0))
         connection = await self.target.pool.open(timeout_s)
+        self._connect_ms = self.target.pool.acquire_ms
         return await self._send(connection)
 
     def _send(self, connection: TargetConnection) -> 'asyncio.Future[Reply]':
         call = self._call
         self._connection = connection
         self.is_sent = True
+        self._sent_at = time.monotonic()
         return connection.send(
             self._wire.encode_attempt(
                 call.caller,
@@ -135,7 +161,7 @@
             self.target.record_connect_failure()
         elif self._is_aborted:
             # Lower bound: the reply would have taken at least this long.
-            self._on_reply(self.target, duration_ms)
+            self._record_good(duration_ms)
         elif isinstance(error, TargetError):
             self._handle_failure(error)
         if self._connection is not None:
@@ -145,6 +171,8 @@
 
     def _handle_failure(self, error: TargetError) -> None:
         self.target.record_failure()
+        if isinstance(error, (TargetProtocolError, ReplyLimitError)):
+            self._recorder.record_failed_reply(self.target)
         if isinstance(error, ReplyLimitError):
             _LOGGER.warning(
                 'Reply aborted: %s.',
@@ -167,6 +195,13 @@
         if not metadata.is_misdirected:
             self._on_statements(self.target, metadata)
         if metadata.signature and reply.status < 300:
-            self._on_reply(self.target, duration_ms)
-        else:
-            self.target.record_failure()
+            self._record_good(duration_ms)
+            return
+        self.target.record_failure()
+        if not (metadata.is_misdirected or metadata.is_not_run):
+            self._recorder.record_failed_reply(self.target)
+
+    def _record_good(self, duration_ms: float) -> None:
+        self._recorder.record_reply(self.target, duration_ms)
+        sent_ms = (time.monotonic() - self._sent_at) * _MS_PER_S
+        self._recorder.record_result(self.target, sent_ms, self._connect_ms)
--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -7,12 +7,14 @@
 from shallotgate.gateway._connection_pool import ConnectionPool
 from shallotgate.gateway._health import TargetHealth
 from shallotgate.gateway._reply_stats import ReplyStats
+from shallotgate.gateway._version_selector import VersionSelector
 from shallotgate.gateway._wire import ReplyMetadata
 from shallotgate.generated.messages import (
     ListedTarget,
     ListingUpdate,
     TargetConditions,
     TargetLimits,
+    VersionsUpdate,
 )
 from shallotgate.logs import get_logger
 from shallotgate.target_limits import NO_LIMIT
@@ -103,11 +105,23 @@
         self._unlisted_limits: dict[str, float] = {}
         # Targets eligible for new requests, by service.
         self._usable: dict[str, list[Target]] = {}
+        # Targets of versions that are being tried, by service.
+        self._candidates: dict[str, list[Target]] = {}
+        self.versions = VersionSelector()
 
     def list_usable(self, service: str) -> Sequence[Target]:
         """Return the targets of a service that may receive new requests."""
         return self._usable.get(service, ())
 
+    def list_candidates(self, service: str) -> Sequence[Target]:
+        """Return the targets of a service that need a permit of a rollout."""
+        return self._candidates.get(service, ())
+
+    def apply_versions(self, update: VersionsUpdate) -> None:
+        """Replace the rules for versions."""
+        self.versions.apply(update)
+        self._rebuild_usable()
+
     def apply_domains_out(self, revision: int, out: Iterable[str]) -> None:
         """Replace the set of failure domains that are out of service.
 
@@ -221,11 +235,16 @@
     def _rebuild_usable(self) -> None:
         """Recompute the targets that may receive new requests."""
         self._usable = {}
+        self._candidates = {}
         for target in self._targets.values():
             listed = target.listed
             is_leaving = listed.leaving or target.is_leaving
-            if not is_leaving and listed.domain not in self.domains_out:
+            if is_leaving or listed.domain in self.domains_out:
+                continue
+            if self.versions.is_open(listed):
                 self._usable.setdefault(listed.service, []).append(target)
+            elif self.versions.is_candidate(listed):
+                self._candidates.setdefault(listed.service, []).append(target)
 
     def _upsert(self, listed: ListedTarget) -> None:
         known = self._targets.get(listed.target)
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -253,7 +253,10 @@
         self._send(target)
         return True
 
-    def _send(self, target: Target) -> None:
+    def _send(self, chosen: Target) -> None:
+        target = self.selection.claim(chosen)
+        if target is None:
+            return
         context = self._context
         now = time.monotonic()
         queue = target.health.estimate_queue(now)
@@ -261,7 +264,7 @@
             context.wire,
             self._call,
             target,
-            context.record_reply,
+            context,
             context.get_idle_timeout_s,
             context.directory.record_statements,
         )
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -14,6 +14,7 @@
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
 from shallotgate.gateway._target_chooser import Pace, TargetChooser
+from shallotgate.gateway._version_selector import classify
 from shallotgate.gateway._warm_up import WarmUpLimiter
 from shallotgate.gateway._wire import WireCodec
 from shallotgate.routes import Route, RoutingTable, Service
@@ -60,6 +61,8 @@
     # Whether a target accepts fewer connections than there are entries.
     are_connections_scarce: bool
     warm_up: WarmUpLimiter
+    # Name of the route.
+    route: str
     on_event: Callable[[str], None]
 
     def choose(
@@ -76,12 +79,16 @@
         """
         now = time.monotonic()
         pace = Pace(self.latency.quantile(0.5), objective_ms)
-        usable = [
-            target
-            for target in self._list_usable(service, pace, now)
-            if may_use_limited or target.limit_per_s is None
-        ]
-        return self.chooser.choose(usable, tried, pace, now)
+        for group in self._list_groups(service, tried, pace, now):
+            usable = [
+                target
+                for target in group
+                if may_use_limited or target.limit_per_s is None
+            ]
+            chosen = self.chooser.choose(usable, tried, pace, now)
+            if chosen is not None:
+                return chosen
+        return None
 
     def rank_limited(
         self, service: str, tried: Collection[Target], objective_ms: float
@@ -89,18 +96,36 @@
         """Return the targets with a limit that were not tried, best first."""
         now = time.monotonic()
         pace = Pace(self.latency.quantile(0.5), objective_ms)
-        limited = [
-            target
-            for target in self._list_usable(service, pace, now)
-            if target.limit_per_s is not None
-        ]
-        return self.chooser.rank(limited, tried, pace, now)
+        ranked: list[Target] = []
+        for group in self._list_groups(service, tried, pace, now):
+            limited = [
+                target for target in group if target.limit_per_s is not None
+            ]
+            ranked.extend(self.chooser.rank(limited, tried, pace, now))
+        return ranked
 
     def record_reply(self, target: Target, duration_ms: float) -> None:
         """Record the duration of a reply, or a lower bound of it."""
         target.record_reply(duration_ms, self.latency.quantile(0.5))
         self.latency.add(duration_ms)
 
+    def record_result(
+        self, target: Target, duration_ms: float, connect_ms: float
+    ) -> None:
+        """Count a good reply for the version of its target.
+
+        ``connect_ms`` is the time to set up its connection; 0 for a used one.
+        A target that is warming up is not compared with others.
+        """
+        outcome = classify(duration_ms, self.latency.quantile(0.5), connect_ms)
+        if time.monotonic() < target.cold_until:
+            outcome = 'good'
+        self.directory.versions.record_reply(target, self.route, outcome)
+
+    def record_failed_reply(self, target: Target) -> None:
+        """Count a reply that is a failure for the version of its target."""
+        self.directory.versions.record_reply(target, self.route, 'failed')
+
     def has_room(self, target: Target, median_ms: float, now: float) -> bool:
         """Return whether the target may receive another request.
 
@@ -114,12 +139,30 @@
         is_waiting = health.get_stall_ms(now) > median_ms
         return len(health.in_flight) < self.max_concurrent and not is_waiting
 
-    def _list_usable(
-        self, service: str, pace: Pace, now: float
+    def _list_groups(
+        self, service: str, tried: Collection[Target], pace: Pace, now: float
+    ) -> list[list[Target]]:
+        """Return the targets that may be used, the preferred group first.
+
+        With a permit of a rollout, a first attempt goes to a candidate. Second
+        attempts go to the version in force while it has a target.
+        """
+        directory = self.directory
+        usable = self._list_open(directory.list_usable(service), pace, now)
+        candidates = directory.list_candidates(service)
+        if not (candidates and directory.versions.holds_permit(service)):
+            return [usable]
+        open_candidates = self._list_open(candidates, pace, now)
+        if tried:
+            return [usable, open_candidates]
+        return [open_candidates, usable]
+
+    def _list_open(
+        self, targets: Sequence[Target], pace: Pace, now: float
     ) -> list[Target]:
         return [
             target
-            for target in self.directory.list_usable(service)
+            for target in targets
             if now >= target.paused_until
             and self.has_room(target, pace.median_ms, now)
             and self.warm_up.allows(target, now)
@@ -248,6 +291,7 @@
                 self.entries,
                 self._generator,
             ),
+            route=route.name,
             on_event=self._reporter.count,
         )
 
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -9,6 +9,7 @@
 from shallotgate.errors import FindingsError, TransportError
 from shallotgate.generated.messages import (
     AskContentTrial,
+    AskExposure,
     AskExtras,
     AskPermits,
     ContentSurvived,
@@ -90,6 +91,7 @@
         message: ObservedReplies
         | AskExtras
         | AskPermits
+        | AskExposure
         | CrashReport
         | AskContentTrial
         | ContentSurvived,
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -46,6 +46,18 @@
         """Increment the counter of an event."""
         self._metrics.count(f'gateway_{event}_total')
 
+    def count_version_reply(
+        self, service: str, version: str, route: str, outcome: str
+    ) -> None:
+        """Count a reply of a target during a rollout or after it."""
+        self._metrics.count(
+            'version_replies_total',
+            service=service,
+            version=version,
+            route=route,
+            outcome=outcome,
+        )
+
     @contextmanager
     def observe(self, call: Call) -> Iterator[RequestObservation]:
         """Report the request at the end of the block."""
--- a/shallotgate/gateway/_target_selection.py
+++ b/shallotgate/gateway/_target_selection.py
@@ -81,6 +81,17 @@
         """Return a target in place of one that does not accept connections."""
         return self._choose(may_use_limited=False)
 
+    def claim(self, target: Target) -> Target | None:
+        """Return the target to send to in place of one that was chosen.
+
+        It is another one if the permit of a rollout was used up meanwhile.
+        """
+        versions = self._context.directory.versions
+        if versions.claim(target):
+            return target
+        other = self._choose(may_use_limited=False)
+        return other if other is not None and versions.claim(other) else None
+
     def keep(self, target: Target) -> None:
         """Keep a target whose permit could not be used yet."""
         if target.limit_per_s is not None:
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from shallotgate.aio import AsyncHttpServer, Handler, ServerLimits
@@ -28,6 +29,7 @@
     RegistryClient,
     RegistryState,
     RetryGrantService,
+    RolloutService,
     TargetListing,
 )
 from shallotgate.routes import TableCodec
@@ -107,6 +109,9 @@
         )
         self._limits = LimitBoard(secrets.randbits(_REVISION_BITS))
         self._client = RegistryClient(self._mailbox, self._log, state)
+        self._rollouts = RolloutService(
+            self._mailbox, self._log, state, self._listing
+        )
         self._followers = FollowerService(
             mailbox=self._mailbox,
             log=self._log,
@@ -115,6 +120,7 @@
             list_members=self._list_members,
             limits=self._limits,
             on_entry_start=lambda entry: self._crashes.inform_entry(entry),
+            make_versions=self._rollouts.make_update,
         )
         self._crashes = CrashService(
             self._mailbox,
@@ -144,6 +150,14 @@
             'limited_targets',
             lambda: len(self._limits.list_limits(time.monotonic())),
         )
+        self._metrics.register_gauge(
+            'rollouts_running', self._rollouts.count_running
+        )
+        for ended in ('completed', 'rolled_back'):
+            self._metrics.register_gauge(
+                f'rollouts_{ended}',
+                partial(self._rollouts.count_ended, ended),
+            )
         self._metrics.register_gauge(
             'disk_suspended', lambda: int(self._log.is_suspended())
         )
@@ -154,6 +168,7 @@
         self._mailbox.start()
         await asyncio.to_thread(self._log.start)
         self._listing.start()
+        self._rollouts.start()
         self._followers.start()
         await self._server.start()
         if self._metrics_server is not None:
@@ -164,6 +179,7 @@
         if self._log.is_leading():
             await asyncio.to_thread(self._log.transfer_leadership)
         self._listing.stop()
+        self._rollouts.stop()
         self._client.stop()
         await self._server.stop()
         await asyncio.to_thread(self._log.stop)
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -16,6 +16,7 @@
 from shallotgate.gateway import (
     ContentBlocklist,
     Directory,
+    ExposureClient,
     Gateway,
     GatewayOptions,
     PermitClient,
@@ -28,6 +29,7 @@
     BarContent,
     ContentTrial,
     FollowTier,
+    GrantExposure,
     GrantExtras,
     GrantPermits,
     TierUpdate,
@@ -89,12 +91,18 @@
         self._blocklist = ContentBlocklist(
             lambda message: self._follower.send_to_leader(message)
         )
+        self._exposure = ExposureClient(
+            lambda ask: self._follower.send_to_leader(ask),
+            self._directory.versions.tracker,
+        )
+        reporter = RequestReporter(self._metrics)
+        self._directory.versions.count_reply = reporter.count_version_reply
         self._gateway = Gateway(
             wire=wire,
             directory=self._directory,
             options=_make_gateway_options(settings),
             generator=generator,
-            reporter=RequestReporter(self._metrics),
+            reporter=reporter,
             retry_grants=self._retry_grants,
             permits=self._permits,
             blocklist=self._blocklist,
@@ -106,6 +114,7 @@
         )
         self._mailbox.subscribe(GrantExtras, self._on_grant)
         self._mailbox.subscribe(GrantPermits, self._on_permits)
+        self._mailbox.subscribe(GrantExposure, self._on_exposure)
         self._mailbox.subscribe(BarContent, self._on_bar_content)
         self._mailbox.subscribe(ContentTrial, self._on_content_trial)
         self._follower = TierFollower(
@@ -178,6 +187,7 @@
             merges_conditions=True,
             entries=self._gateway.entries,
             limits_revision=self._directory.limits_revision,
+            versions_revision=self._directory.versions.revision,
         )
 
     def _report_degradation(self) -> None:
@@ -204,6 +214,13 @@
                 delivery.message,
             )
 
+    def _on_exposure(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._exposure.handle_grant,
+                delivery.message,
+            )
+
     def _on_bar_content(self, delivery: Delivery) -> None:
         if self._loop is not None:
             self._loop.call_soon_threadsafe(
@@ -249,6 +266,10 @@
             )
         if update.entries:
             self._gateway.entries = update.entries
+        if update.versions is not None:
+            # Before the list, so that no new target is used against a rule.
+            self._directory.apply_versions(update.versions)
+            self._exposure.follow()
         if update.listing is not None:
             self._directory.update(update.listing)
         self._directory.apply_conditions(update.conditions)
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -13,6 +13,7 @@
 )
 from shallotgate.registry._permits import PermitService
 from shallotgate.registry._retry_grants import RetryGrantService
+from shallotgate.registry._rollouts import RolloutService
 from shallotgate.registry._state import RegistryState
 
 __all__ = (
@@ -28,5 +29,6 @@
     'RegistryState',
     'RetryGrantService',
     'RolloutOrder',
+    'RolloutService',
     'TargetListing',
 )
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -12,6 +12,7 @@
     FollowTier,
     ObservedReplies,
     TierUpdate,
+    VersionsUpdate,
 )
 from shallotgate.logs import get_logger
 from shallotgate.registry._conditions import ConditionTracker
@@ -38,6 +39,9 @@
 # different leaders distinct.
 _REVISION_BITS = 48
 
+# Returns the rules for versions, given the revision that an entry has.
+VersionsSource = Callable[[int], VersionsUpdate | None]
+
 
 @dataclass
 class _PendingRequest:
@@ -60,11 +64,14 @@
         list_members: Callable[[], list[str]],
         limits: LimitBoard,
         on_entry_start: Callable[[str], None] | None = None,
+        make_versions: VersionsSource | None = None,
     ) -> None:
         """Subscribe to the mailbox, which must not have started.
 
         ``on_entry_start`` is called for an entry that has no table yet.
+        ``make_versions`` returns rules for versions that an entry lacks.
         """
+        self._make_versions = make_versions
         self._on_entry_start = on_entry_start
         self._mailbox = mailbox
         self._log = log
@@ -190,12 +197,15 @@
             return
         message = pending.delivery.message
         update = self._make_update(message)
+        # An entry that states no revision of the rules can't take them, and
+        # would be answered over and over.
+        takes_rules = message.versions_revision >= 0
         has_changes = (
             update.table
             or update.domains
             or update.listing
             or self._conditions.is_urgent(message.conditions_revision)
-        )
+        ) or (update.versions and takes_rules)
         waited_s = time.monotonic() - pending.received_at
         is_overdue = waited_s > _LONG_POLL_TIMEOUT_S
         if not (has_changes or is_overdue):
@@ -246,4 +256,7 @@
                 merges=message.merges_conditions,
             ),
             limits=self._limits.make_update(message.limits_revision),
+            # After the list, whose versions they cover.
+            versions=self._make_versions
+            and self._make_versions(message.versions_revision),
         )
--- a/shallotgate/registry/_listing.py
+++ b/shallotgate/registry/_listing.py
@@ -57,6 +57,7 @@
         # Term in which the targets were read.
         self._term: int | None = None
         self._targets: Mapping[str, ListedTarget] = {}
+        self._target_list: Sequence[ListedTarget] = ()
         self._revision = 0
         self._changes: list[_Change] = []
         self._callbacks: list[Callable[[], None]] = []
@@ -95,6 +96,14 @@
                 return self._make_difference(revision) or self._make_full()
             return self._make_full()
 
+    def list_targets(self) -> Sequence[ListedTarget] | None:
+        """Return the targets; None if this leader has not read the list."""
+        term = self._get_leading_term()
+        with self._lock:
+            if term is None or term != self._term:
+                return None
+            return self._target_list
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             term = self._get_leading_term()
@@ -145,6 +154,7 @@
             ]
             gone = [name for name in previous if name not in targets]
             self._targets = targets
+            self._target_list = tuple(targets.values())
             if self._changes and not changed and not gone:
                 return
             self._revision += 1
--- a/shallotgate/registry/_update_sender.py
+++ b/shallotgate/registry/_update_sender.py
@@ -36,7 +36,7 @@
         if self._try_send(delivery, update):
             return True
         rest = replace(update, listing=None, conditions=None, limits=None)
-        if not (rest.table or rest.domains or is_overdue):
+        if not (rest.table or rest.domains or rest.versions or is_overdue):
             return False
         return self._try_send(delivery, rest)
 
