--- a/shallotgate/registry/_rollouts.py
+++ b/shallotgate/registry/_rollouts.py
@@ -35,6 +35,8 @@
 # Intervals between two reviews in seconds, with and without a running order.
 _BUSY_INTERVAL_S = 0.1
 _IDLE_INTERVAL_S = 0.25
+# The same after a commit that failed, for example because the disk is full.
+_FAILURE_INTERVAL_S = 0.5
 # Time-out of a commit in seconds. What is not committed is decided again.
 _COMMIT_TIMEOUT_S = 1.0
 # Bytes of the digest that identifies rules.
@@ -77,6 +79,8 @@
         self._made: _MadeRules | None = None
         self._changed = threading.Event()
         self._is_stopped = False
+        # Whether the last commit failed.
+        self._is_failing = False
         self._thread = threading.Thread(
             target=self._run, name='rollouts', daemon=True
         )
@@ -181,9 +185,10 @@
     def _run(self) -> None:
         while not self._is_stopped:
             is_busy = self.count_running() > 0
-            self._changed.wait(
-                _BUSY_INTERVAL_S if is_busy else _IDLE_INTERVAL_S
-            )
+            interval_s = _BUSY_INTERVAL_S if is_busy else _IDLE_INTERVAL_S
+            if self._is_failing:
+                interval_s = _FAILURE_INTERVAL_S
+            self._changed.wait(interval_s)
             self._changed.clear()
             try:
                 self.review()
@@ -195,9 +200,12 @@
         try:
             self._log.propose(encode_tagged(command), _COMMIT_TIMEOUT_S)
         except ShallotgateError as error:
-            _LOGGER.warning(
-                'Decision on a rollout was not committed: %s.', error
-            )
+            # Logged once, because it is tried again until it succeeds.
+            if not self._is_failing:
+                _LOGGER.warning('Decision was not committed: %s.', error)
+            self._is_failing = True
+            return
+        self._is_failing = False
 
 
 def _identify(rules: Sequence[ServiceVersions]) -> int:
--- a/shallotgate/rollouts/_comparison.py
+++ b/shallotgate/rollouts/_comparison.py
@@ -21,7 +21,7 @@
     probability: float
     # Bad replies, at least.
     least_bad: int
-    # Whether each target with enough replies has to show the fault.
+    # Whether each target has to show the fault, but for the worst one.
     is_common: bool = True
 
 
@@ -44,8 +44,13 @@
 # multiple. Less is noise of a busy tier.
 _MIN_EXCESS = 0.05
 _MIN_RATIO = 2.0
-# Replies of one target from which it has to show the fault, too.
+# Replies of one target without which it does not show whether it has the fault.
 _MIN_TARGET_REPLIES = 3
+# Replies for each target in a window, on average, from which one without any is
+# known to be down.
+_CLEAR_REPLIES = 6
+# Replies of one target which show that it has not.
+_SOUND_REPLIES = 20
 # Ratios to the version in force, and to the worst target, from which one target
 # shows the fault.
 _TARGET_RATIO = 1.5
@@ -98,15 +103,12 @@
     """Return whether few enough replies of the candidate are bad.
 
     Few replies may not suffice to prove a fault, and do not prove that there is
-    none. One target may be worse than the others.
+    none. One target may be worse than the others. Each route counts alone, too.
     """
-    candidates, in_force = split_versions(overall)
-    ordered = sorted(candidates.values(), key=lambda sums: sums.bad)
-    counted = ordered if len(ordered) == 1 else ordered[:-1]
-    total = add_all(counted)
-    share = _estimate_share(in_force, lambda sums: sums.bad)
-    usual = total.replies * (share * _MIN_RATIO + _MIN_EXCESS)
-    return total.bad <= max(usual, total.replies * _FEW_SHARE, 1)
+    routes = sorted({route for route, _ in overall})
+    return all(
+        _is_share_usual(_select(overall, route)) for route in ('', *routes)
+    )
 
 
 def compute_tail(bad: int, replies: int, share: float) -> float:
@@ -135,6 +137,18 @@
     return min(total, 1.0)
 
 
+def _is_share_usual(overall: Mapping[SumKey, ReplySums]) -> bool:
+    candidates, in_force = split_versions(overall)
+    ordered = sorted(candidates.values(), key=lambda sums: sums.bad)
+    counted = ordered if len(ordered) == 1 else ordered[:-1]
+    total = add_all(counted)
+    share = _estimate_share(in_force, lambda sums: sums.bad)
+    if _has_sound(ordered, lambda sums: sums.bad, share):
+        return True
+    usual = total.replies * (share * _MIN_RATIO + _MIN_EXCESS)
+    return total.bad <= max(usual, total.replies * _FEW_SHARE, 1)
+
+
 def _select(
     sums: Mapping[SumKey, ReplySums], route: str
 ) -> Mapping[SumKey, ReplySums]:
@@ -160,9 +174,7 @@
         # slow or fail for another reason.
         remaining = ordered if len(all_candidates) == 1 else ordered[:-1]
         chance = 1.0
-        if not strictness.is_common or _is_common(
-            ordered, remaining, count_bad, share
-        ):
+        if _may_be_common(ordered, count_bad, share, strictness):
             chance = _compute_chance(
                 add_all(remaining), count_bad, share, strictness
             )
@@ -183,20 +195,41 @@
     return min(max(share, _MIN_REFERENCE_SHARE), 0.9)
 
 
-def _is_common(
+def _may_be_common(
     targets: Sequence[ReplySums],
-    remaining: Sequence[ReplySums],
     count_bad: Callable[[ReplySums], int],
     share: float,
+    strictness: Strictness,
 ) -> bool:
-    """Return whether each of the remaining targets shows the fault, too."""
+    """Return whether a fault may be one of the version.
+
+    ``targets`` are those of the candidate, the worst one last.
+    """
+    if not strictness.is_common:
+        return not _has_sound(targets, count_bad, share)
     shares = [count_bad(each) / max(each.replies, 1) for each in targets]
     worst_share = max(shares, default=0)
     least = max(share * _TARGET_RATIO, worst_share * _WORST_RATIO)
+    # A target without any reply is down if the others have many of them.
+    is_down_clear = add_all(targets).replies >= len(targets) * _CLEAR_REPLIES
     return all(
-        count_bad(each) > each.replies * least
-        for each in remaining
-        if each.replies >= _MIN_TARGET_REPLIES
+        each.replies >= _MIN_TARGET_REPLIES
+        and count_bad(each) > each.replies * least
+        for each in targets[:-1]
+        if each.replies or not is_down_clear
+    )
+
+
+def _has_sound(
+    targets: Sequence[ReplySums],
+    count_bad: Callable[[ReplySums], int],
+    share: float,
+) -> bool:
+    """Return whether a target has enough replies and no more bad ones."""
+    return any(
+        each.replies >= _SOUND_REPLIES
+        and count_bad(each) <= each.replies * share * _MIN_RATIO
+        for each in targets
     )
 
 
--- a/shallotgate/rollouts/_plan.py
+++ b/shallotgate/rollouts/_plan.py
@@ -28,7 +28,9 @@
 # Replies of candidates to be collected before they are judged. The number falls
 # if the ramp needs more of the exposure that a bad version may get.
 _MIN_REPLIES = 25
-_MAX_REPLIES = 70
+_MAX_REPLIES = 150
+# Part of the exposure that is left for them: faults may show late.
+_COLLECTED_SHARE = 0.6
 # Exposure that a bad version may get, as a share of the requests and a number.
 _EXPOSURE_SHARE = 0.1
 _EXPOSURE_SLACK = 45
@@ -84,8 +86,8 @@
         allowed = self.duration_s * per_s * _EXPOSURE_SHARE + _EXPOSURE_SLACK
         ramp = per_s * self.step_s * sum(RAMP_SHARES[:-1])
         ramp += per_s * self.full_s
-        wanted = allowed - ramp * _RAMP_EXPOSURE_SHARE
-        return _clamp(wanted, _MIN_REPLIES, _MAX_REPLIES)
+        left = allowed - ramp * _RAMP_EXPOSURE_SHARE
+        return _clamp(left * _COLLECTED_SHARE, _MIN_REPLIES, _MAX_REPLIES)
 
 
 def _clamp(number: float, least: float, most: float) -> float:
--- a/shallotgate/rollouts/_run.py
+++ b/shallotgate/rollouts/_run.py
@@ -44,7 +44,7 @@
 _MAX_SHARE = 0.5
 # Time in seconds in which a new leader grants nothing, because permits of the
 # former one may be in use, and learns from entries what they counted.
-_SETTLE_S = PERMIT_S + 0.4
+_SETTLE_S = PERMIT_S + 0.2
 # Time in seconds that a new leader has to judge and to ramp up in any case.
 _TAKEOVER_JUDGE_S = _SETTLE_S + 1.0
 _TAKEOVER_S = _TAKEOVER_JUDGE_S + 2.6
--- a/shallotgate/rollouts/tests/test_decisions.py
+++ b/shallotgate/rollouts/tests/test_decisions.py
@@ -131,6 +131,16 @@
     simulate(seed, slow=slow).check_good()
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_two_slow_targets_of_three_are_no_fault_of_the_version(seed):
+    """Guards against taking most targets for all of them."""
+
+    def slow(route, target, elapsed_s):
+        return 0.9 if target != 'v2-2' and 8 < elapsed_s < 15 else 0
+
+    simulate(seed, slow=slow).check_good()
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_trouble_of_both_versions_is_no_fault_of_the_candidate(seed):
     """Guards against a rollback for a fault of the tier or the platform."""
