--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from shallotgate.aio import (
@@ -35,6 +36,7 @@
     RegistryClient,
     RegistryState,
     RetryGrantService,
+    RolloutService,
     TargetListing,
 )
 from shallotgate.routes import TableCodec
@@ -114,6 +116,9 @@
         )
         self._limits = LimitBoard(secrets.randbits(_REVISION_BITS))
         self._client = RegistryClient(self._mailbox, self._log, state)
+        self._rollouts = RolloutService(
+            self._mailbox, self._log, state, self._listing
+        )
         self._followers = FollowerService(
             mailbox=self._mailbox,
             log=self._log,
@@ -122,6 +127,7 @@
             list_members=self._list_members,
             limits=self._limits,
             on_entry_start=lambda entry: self._crashes.inform_entry(entry),
+            make_versions=self._rollouts.make_update,
         )
         self._crashes = CrashService(
             self._mailbox,
@@ -168,6 +174,14 @@
         self._metrics.register_gauge(
             'quota_accounts_exceeding', self._quotas.count_exceeding
         )
+        self._metrics.register_gauge(
+            'rollouts_running', self._rollouts.count_running
+        )
+        for ended in ('completed', 'rolled_back'):
+            self._metrics.register_gauge(
+                f'rollouts_{ended}',
+                partial(self._rollouts.count_ended, ended),
+            )
         self._metrics.register_gauge(
             'disk_suspended', lambda: int(self._log.is_suspended())
         )
@@ -178,6 +192,7 @@
         self._mailbox.start()
         await asyncio.to_thread(self._log.start)
         self._listing.start()
+        self._rollouts.start()
         self._followers.start()
         await self._server.start()
         if self._metrics_server is not None:
@@ -188,6 +203,7 @@
         if self._log.is_leading():
             await asyncio.to_thread(self._log.transfer_leadership)
         self._listing.stop()
+        self._rollouts.stop()
         self._client.stop()
         await self._server.stop()
         await asyncio.to_thread(self._log.stop)
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -8,9 +8,14 @@
 from shallotgate.registry._entry_counter import EntryCounter
 from shallotgate.registry._followers import FollowerService
 from shallotgate.registry._listing import ListingPoller, TargetListing
-from shallotgate.registry._operators import OperatorService, OrderResult
+from shallotgate.registry._operators import (
+    OperatorService,
+    OrderResult,
+    RolloutOrder,
+)
 from shallotgate.registry._permits import PermitService
 from shallotgate.registry._retry_grants import RetryGrantService
+from shallotgate.registry._rollouts import RolloutService
 from shallotgate.registry._state import RegistryState
 
 __all__ = (
@@ -27,5 +32,7 @@
     'RegistryClient',
     'RegistryState',
     'RetryGrantService',
+    'RolloutOrder',
+    'RolloutService',
     'TargetListing',
 )
