--- a/shallotgate/gateway/_directory.py
+++ b/shallotgate/gateway/_directory.py
@@ -44,6 +44,9 @@
     # None before a time was assigned.
     cold_next_at: float | None = None
     health: TargetHealth = field(default_factory=TargetHealth)
+    # Number from 0 to 1 that decides whether this entry keeps a connection;
+    # None before it was drawn.
+    connection_draw: float | None = None
     # Requests a second that it takes from all entries together; None if it
     # states no limit.
     limit_per_s: float | None = None
--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -207,6 +207,7 @@
             return
         wait_s = self._timing.get_wait_s(self.selection.find_replacement, now)
         if wait_s:
+            self._context.on_event('hedge_deferred')
             self._hedge_at = now + wait_s
         else:
             self._try_send()
--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -7,6 +7,7 @@
 
 from shallotgate.extras import RetryBudget
 from shallotgate.gateway._active_table import retain_known
+from shallotgate.gateway._connection_share import ConnectionShare
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
@@ -72,6 +73,7 @@
     max_concurrent: int
     # Whether a target accepts fewer connections than there are entries.
     are_connections_scarce: bool
+    connection_share: ConnectionShare
     warm_up: WarmUpLimiter
     on_event: Callable[[str], None]
 
@@ -157,11 +159,14 @@
             and self.has_room(target, pace.median_ms, now)
             and self.warm_up.allows(target, now)
         ]
-        return [
+        unhindered = [
             target
             for target in usable
             if self._keeps_pace(target, pace, now, is_last=False)
-        ] or [
+        ]
+        if len(unhindered) < len(usable):
+            self.on_event('paced')
+        return unhindered or [
             target
             for target in usable
             if self._keeps_pace(target, pace, now, is_last=True)
@@ -191,6 +196,9 @@
         only if the target is in its own failure domain or if that domain has
         no target left. A last remaining target receives the requests of all
         entries, so its idle timeout is short.
+
+        If targets report their speed, entries turn to any of them for moments.
+        Then a fixed part of the entries keeps a connection to each target.
         """
         if target.pool.size > self.max_connections:
             return 0
@@ -202,6 +210,14 @@
             for candidate in self.directory.list_usable(target.listed.service)
             if candidate.health.is_reachable(now)
         ]
+        if target.health.speed.is_reported:
+            domains = {candidate.listed.domain for candidate in usable}
+            is_kept = self.connection_share.keeps(
+                target,
+                max(len(domains), 1),
+                is_local=target.listed.domain == self.domain,
+            )
+            return None if is_kept else 0
         if len(usable) == 1:
             return _LAST_TARGET_IDLE_TIMEOUT_S
         if target.listed.domain == self.domain:
@@ -304,6 +320,11 @@
             max_connections=max(int(connections), 1),
             max_concurrent=max_concurrent,
             are_connections_scarce=connections < 1,
+            connection_share=ConnectionShare(
+                service.max_connections * _CONNECTIONS_SHARE,
+                max(self.entries, 1),
+                self._generator,
+            ),
             warm_up=WarmUpLimiter(
                 service.warm_up_per_s,
                 self.entries,
--- a/shallotgate/gateway/tests/test_uneven_targets.py
+++ b/shallotgate/gateway/tests/test_uneven_targets.py
@@ -175,3 +175,59 @@
     moment.record(250, 7)
     assert moment.estimate_factor(8) < 1.4
     assert lasting.estimate_factor(8) > 1.7
+
+
+@pytest.mark.parametrize(
+    ('entries', 'domains', 'limit'), [(78, 'abc', 71), (116, 'abcd', 110)]
+)
+@pytest.mark.parametrize('down', [1, 2])
+def test_no_target_gets_more_connections_than_it_accepts(
+    entries, domains, limit, down
+):
+    """Guards against resets when all entries turn to the targets left."""
+
+    # Each entry has three requests a second.
+    per_s = entries * 3
+
+    async def run():
+        tier = SimulatedTier(
+            entries,
+            shards=2,
+            max_connections=limit,
+            domains=domains,
+        )
+        for target in tier.list_all_targets():
+            target.is_load_reported = True
+        most = 0
+
+        async def watch():
+            nonlocal most
+            while True:
+                for target in tier.list_all_targets():
+                    count = sum(
+                        each.count_connections(target.name)
+                        for each in tier.entries
+                    )
+                    most = max(most, count)
+                await asyncio.sleep(0.02)
+
+        running = [
+            asyncio.ensure_future(watch()),
+            asyncio.ensure_future(tier.exchange_reports()),
+        ]
+        await tier.send_requests(per_s * 2, per_s)
+        for replicas in tier.targets.values():
+            for target in replicas[:down]:
+                target.is_up = False
+                target.drops_connection = True
+        # A request that loses two targets at once is suspected of crashing them
+        # and is not sent again.
+        await tier.send_requests(per_s, per_s)
+        answers = await tier.send_requests(per_s * 3, per_s)
+        for task in running:
+            task.cancel()
+        return most, answers
+
+    most, answers = run_virtual(run())
+    assert most <= limit
+    assert all(answer.status == 200 for answer, _ in answers)
--- a/shallotgate/pacing/_board.py
+++ b/shallotgate/pacing/_board.py
@@ -92,6 +92,13 @@
                 shares=list(self._published.values()),
             )
 
+    def list_active(self) -> frozenset[str]:
+        """Return the targets whose ramps have not ended."""
+        with self._lock:
+            return frozenset(
+                name for name, ramp in self._ramps.items() if ramp.is_active
+            )
+
     def _record(
         self, listed: ListedTarget, sums: ReplySums, now: float
     ) -> None:
--- a/shallotgate/pacing/_ramp.py
+++ b/shallotgate/pacing/_ramp.py
@@ -117,7 +117,9 @@
         """Requests in progress at usual speed, as a share of the slots."""
         if not self.is_active:
             return 1
-        return min(self._allowed / self._factor / self._slots, 1.0)
+        # Even ten times slower a target can take the probes.
+        usable = max(self._allowed / self._factor, _PROBE_SLOTS)
+        return min(usable / self._slots, 1.0)
 
     def start(self, now: float) -> None:
         """Begin the slow start of a target that has just started."""
--- a/shallotgate/registry/_conditions.py
+++ b/shallotgate/registry/_conditions.py
@@ -3,6 +3,7 @@
 import math
 import threading
 from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from shallotgate.generated.messages import ObservedReplies, TargetConditions
@@ -139,8 +140,17 @@
             self._first_revision = self.revision
             self._urgent_revision = self.revision
 
-    def record_replies(self, observed: ObservedReplies, now: float) -> None:
-        """Add the replies observed by an entry."""
+    def record_replies(
+        self,
+        observed: ObservedReplies,
+        now: float,
+        paced: Collection[str] = (),
+    ) -> None:
+        """Add the replies observed by an entry.
+
+        Slowness of the targets in ``paced`` counts for their pace only: one
+        that is avoided because it is cold would not become warm.
+        """
         with self._lock:
             for target, replies, slowness, failures in zip(
                 observed.targets,
@@ -152,7 +162,8 @@
                 stats = self._stats.setdefault(target, _ReplyStats(now))
                 stats.decay(now)
                 stats.replies += replies
-                stats.slowness += slowness
+                good = replies - failures
+                stats.slowness += good if target in paced else slowness
                 stats.failures += failures
                 self._update_condition(target, stats, now)
 
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -145,8 +145,10 @@
     def _record_replies(self, observed: ObservedReplies) -> None:
         now = time.monotonic()
         self._limits.record_replies(observed, now)
-        self._conditions.record_replies(observed, now)
         self._paces.record_replies(observed, now)
+        self._conditions.record_replies(
+            observed, now, self._paces.list_active()
+        )
 
     def _on_leadership(self, is_leading: bool) -> None:
         self._entry_counter.set_leading(is_leading, time.monotonic())
--- a/shallotgate/registry/tests/test_conditions.py
+++ b/shallotgate/registry/tests/test_conditions.py
@@ -208,3 +208,17 @@
     update = tracker.make_update(known, merges=True)
     assert (update.base_revision, update.targets) == (-1, [])
     assert tracker.is_urgent(known)
+
+
+def test_slowness_of_a_target_in_a_ramp_is_no_condition():
+    """Guards against a cold target that is avoided and so stays cold."""
+    observed = ObservedReplies(
+        targets=['t1'], replies=[9], slowness=[36], failures=[0]
+    )
+    tracker = ConditionTracker(0)
+    tracker.record_replies(observed, 1, paced=('t1',))
+    tracker.publish(2)
+    assert tracker.make_update(-1).targets == []
+    tracker.record_replies(observed, 3)
+    tracker.publish(4)
+    assert tracker.make_update(-1).targets == ['t1']
--- a/testkit/gateway/_tier.py
+++ b/testkit/gateway/_tier.py
@@ -161,8 +161,10 @@
         if observed is None:
             return
         now = asyncio.get_running_loop().time()
-        self._conditions.record_replies(observed, now)
         self._paces.record_replies(observed, now)
+        self._conditions.record_replies(
+            observed, now, self._paces.list_active()
+        )
         if entry.limits is not None:
             entry.limits.record_replies(observed, now)
 
