--- a/shallotgate/gateway/_dispatch.py
+++ b/shallotgate/gateway/_dispatch.py
@@ -60,7 +60,7 @@
         self._call = call
         self._service = service
         self._live: dict[asyncio.Future[Reply], Attempt] = {}
-        self._timing = HedgeTiming(context, call.route.objective_ms)
+        self._timing = HedgeTiming(context, call)
         # Completed attempts that are not processed yet.
         self._settled: list[asyncio.Future[Reply]] = []
         self._wakeup = Wakeup()
--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -6,11 +6,17 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from shallotgate.errors import FindingsError, TransportError
+from shallotgate.document_differences import apply_difference
+from shallotgate.errors import (
+    BaseVersionMismatchError,
+    FindingsError,
+    TransportError,
+)
 from shallotgate.generated.messages import (
     AskContentTrial,
     AskExtras,
     AskPermits,
+    AskShares,
     ContentSurvived,
     CrashReport,
     FollowTier,
@@ -69,7 +75,8 @@
         self._leader = ''
         self._is_connected = False
         self._stopped = threading.Event()
-        # Monotonic time of the last reply from a leader.
+        # Monotonic time of the last reply from a leader; a reply that was
+        # received later than a leader holds a request counts as that old.
         self.last_reply_at = float('-inf')
         self._thread = threading.Thread(
             target=self._run,
@@ -90,6 +97,7 @@
         message: ObservedReplies
         | AskExtras
         | AskPermits
+        | AskShares
         | CrashReport
         | AskContentTrial
         | ContentSurvived,
@@ -132,6 +140,7 @@
         position = self._read_position()
         if self._is_base_lost:
             position = replace(position, table_version=-1)
+        sent_at = time.monotonic()
         reply = self._mailbox.call(peer, position, timeout_s)
         if not isinstance(reply, TierUpdate):
             self._drop_leader('unexpected reply')
@@ -144,7 +153,8 @@
             _LOGGER.info('Leader found.', extra={'leader': peer})
         self._is_connected = True
         self._leader = peer
-        self.last_reply_at = time.monotonic()
+        # After a freeze, the reply may be older than its receipt suggests.
+        self.last_reply_at = min(time.monotonic(), sent_at + _POLL_TIMEOUT_S)
         if reply.members:
             self._peers = list(dict.fromkeys((*reply.members, *self._seeds)))
         self._apply(reply, self._decode(reply.table))
@@ -162,7 +172,7 @@
         try:
             document = self._decompress(update)
             table = self._codec.decode_table(document)
-        except zlib.error:
+        except (zlib.error, BaseVersionMismatchError):
             _LOGGER.exception(
                 'Table %d is a difference from another than the own one; the '
                 'whole table is requested.',
@@ -178,6 +188,8 @@
         return table
 
     def _decompress(self, update: TableUpdate) -> bytes:
+        if update.difference is not None:
+            return apply_difference(self._document, update.difference)
         unpacker = zlib.decompressobj()
         if update.base_version >= 0:
             unpacker = zlib.decompressobj(zdict=self._document)
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from shallotgate.gateway._active_table import ActiveTable
 from shallotgate.gateway._admission import RequestAdmission
 from shallotgate.gateway._admission_report import AdmissionReporter
+from shallotgate.gateway._authenticator import CallerAuthenticator
 from shallotgate.gateway._blocklist import ContentBlocklist
 from shallotgate.gateway._call import Call, make_call, make_single_attempt
 from shallotgate.gateway._directory import Directory
@@ -18,6 +19,7 @@
 from shallotgate.gateway._fan_out import DispatchFactory, FanOut, FanOutResult
 from shallotgate.gateway._options import GatewayOptions
 from shallotgate.gateway._permits import PermitSource
+from shallotgate.gateway._quota_gate import QuotaGate
 from shallotgate.gateway._report import RequestReporter
 from shallotgate.gateway._retry_grants import RetryGrantSource
 from shallotgate.gateway._wire import WireCodec
@@ -52,6 +54,7 @@
         self._generator = generator
         self._reporter = reporter
         self._blocklist = blocklist
+        self.authenticator = CallerAuthenticator(wire, reporter, generator)
         self._active: ActiveTable | None = None
         self._permits = permits
         self.admission = RequestAdmission(
@@ -68,6 +71,7 @@
             self.admission,
         )
         self._drain = Drain()
+        self.quotas = QuotaGate()
 
     @property
     def version(self) -> int:
@@ -109,6 +113,8 @@
         """Activate a table if it is newer than the active one."""
         if table.version <= self.version:
             return
+        # First, so that no error in the rest keeps a revoked key valid.
+        self.authenticator.apply_table(table)
         self._active = ActiveTable.create(table, self._generator)
         self._contexts.apply_table(table)
         _LOGGER.info(
@@ -136,10 +142,14 @@
         if route is None:
             self._reporter.count('no_route')
             return self._wire.refuse(404, None)
-        call = make_call(request, caller, route, self.version, self._options)
+        call, refusal = self.authenticator.authenticate(
+            make_call(request, caller, route, self.version, self._options)
+        )
         try:
             with self._reporter.observe(call) as observation:
-                response = await self._serve_until_drained(call, active)
+                response = refusal or await self._serve_until_drained(
+                    call, active
+                )
                 observation.conclude(response.status)
         finally:
             # Runs also when the caller has disconnected.
@@ -155,7 +165,10 @@
             self._reporter.count('refused_draining')
             return self._refuse()
         try:
-            async with self._drain.limit():
+            async with self._drain.limit(), self.quotas.hold(call) as place:
+                if place.refused_s is not None:
+                    self._reporter.count('refused_over_limit')
+                    return self._wire.refuse(429, place.refused_s)
                 return await self._serve(self._drain.shorten(call), active)
         except TimeoutError:
             call.trace.add('ended_by_drain')
@@ -213,7 +226,9 @@
         ) -> Dispatch:
             context = self._contexts.get(call.route, active.services[name])
             context.budget.record_request(now, self.entries)
-            return Dispatch(context, call, name, may_hedge)
+            dispatch = Dispatch(context, call, name, may_hedge)
+            call.dispatches.append(dispatch)
+            return dispatch
 
         return make_dispatch
 
--- a/shallotgate/gateway/_hedge_timing.py
+++ b/shallotgate/gateway/_hedge_timing.py
@@ -1,7 +1,9 @@
 """Times at which a second attempt is sooner than waiting."""
 
+import math
 from collections.abc import Callable
 
+from shallotgate.gateway._call import Call
 from shallotgate.gateway._directory import Target
 from shallotgate.gateway._dispatch_contexts import DispatchContext
 
@@ -17,6 +19,10 @@
 # Upper bound of the hedge delay for an attempt that is expected to take longer
 # than usual, as a share of the objective: the rest is left for the hedge.
 _HEDGE_OBJECTIVE_SHARE = 0.4
+# Quantile of recent replies that a hedge needs to be in time for the objective,
+# and the least delay of one that is sent for that, in medians.
+_HEDGE_REPLY_QUANTILE = 0.8
+_HEDGE_MIN_MEDIANS = 1.4
 # Minimum hedge delay in milliseconds: the resolution of timers.
 HEDGE_MIN_MS = 3.0
 
@@ -24,9 +30,11 @@
 class HedgeTiming:
     """Compares the attempts of one dispatch with another one sent now."""
 
-    def __init__(self, context: DispatchContext, objective_ms: float) -> None:
+    def __init__(self, context: DispatchContext, call: Call) -> None:
         self._context = context
-        self._objective_ms = objective_ms
+        self._objective_ms = call.route.objective_ms
+        # Latest monotonic time to answer within the objective.
+        self._answer_by = call.answer_by
         # Monotonic times at which the attempts at targets that report their
         # speed are expected to end.
         self._expected_ends: dict[Target, float] = {}
@@ -45,8 +53,18 @@
             bound_ms = self._objective_ms * _HEDGE_OBJECTIVE_SHARE
             factor = max(expected_ms / max(median_ms, HEDGE_MIN_MS), 1)
             wait_ms = min(wait_ms * factor, max(wait_ms, bound_ms))
+            wait_ms = min(wait_ms, self._get_useful_ms(now))
         return max(wait_ms, HEDGE_MIN_MS) / _MS_PER_S
 
+    def _get_useful_ms(self, now: float) -> float:
+        """Return the delay after which a hedge would be too late."""
+        latency = self._context.latency
+        left_ms = (self._answer_by - now) * _MS_PER_S
+        latest_ms = left_ms - latency.quantile(_HEDGE_REPLY_QUANTILE)
+        if latest_ms <= 0:
+            return math.inf
+        return max(latest_ms, latency.quantile(0.5) * _HEDGE_MIN_MEDIANS)
+
     def remove(self, target: Target) -> None:
         """Forget an attempt that has ended."""
         self._expected_ends.pop(target, None)
@@ -70,4 +88,9 @@
         other_ms = self._context.estimate_ms(other, self._objective_ms, now)
         if other_ms is None or other_ms < min(remaining_ms):
             return 0
+        left_ms = (self._answer_by - now) * _MS_PER_S
+        if other_ms < left_ms < other_ms + min(remaining_ms):
+            # The remaining time is an estimate, and a hedge that is sent after
+            # it would miss the objective.
+            return 0
         return max(min(remaining_ms), HEDGE_MIN_MS) / _MS_PER_S
--- a/shallotgate/gateway/tests/test_follower.py
+++ b/shallotgate/gateway/tests/test_follower.py
@@ -2,9 +2,11 @@
 
 import threading
 import zlib
+from dataclasses import replace
 
 import pytest
 
+from shallotgate.document_differences import make_difference
 from shallotgate.errors import CallTimeoutError
 from shallotgate.gateway import TierFollower
 from shallotgate.generated.messages import (
@@ -71,6 +73,16 @@
     return TierUpdate(status='current', table=table)
 
 
+def make_difference_update(version, base_version):
+    table = TableUpdate(
+        version=version,
+        base_version=base_version,
+        document=b'',
+        difference=make_difference(b'%d' % base_version, b'%d' % version),
+    )
+    return TierUpdate(status='current', table=table)
+
+
 def run(entry, *updates):
     """Let an entry receive updates; return the versions that it stated."""
     mailbox = FakeMailbox(updates)
@@ -83,16 +95,34 @@
     return [position.table_version for position in mailbox.positions]
 
 
-def test_difference_is_applied_to_the_table_held():
+# The first is that of a leader of the previous build.
+@pytest.mark.parametrize('make_next', [make_update, make_difference_update])
+def test_difference_is_applied_to_the_table_held(make_next):
     entry = Entry()
-    assert run(entry, make_update(5), make_update(6, 5))[:3] == [-1, 5, 6]
+    assert run(entry, make_update(5), make_next(6, 5))[:3] == [-1, 5, 6]
+
+
+def make_damaged_update(version, base_version):
+    difference = replace(make_difference(b'', b'%d' % version), checksum=0)
+    table = TableUpdate(
+        version=version,
+        base_version=base_version,
+        document=b'',
+        difference=difference,
+    )
+    return TierUpdate(status='current', table=table)
 
 
-def test_whole_table_is_requested_after_a_difference_that_does_not_fit():
+@pytest.mark.parametrize(
+    'make_next', [make_update, make_difference_update, make_damaged_update]
+)
+def test_whole_table_is_requested_after_a_difference_that_does_not_fit(
+    make_next,
+):
     """Guards against an entry that fails at the same difference for ever."""
     entry = Entry()
     entry.version = 4
-    versions = run(entry, make_update(5, 4), make_update(5), make_update(6, 5))
+    versions = run(entry, make_next(5, 4), make_update(5), make_update(6, 5))
     assert versions[:4] == [4, -1, 5, 6]
 
 
@@ -106,3 +136,29 @@
     whole = [make_update(5) for _ in range(failures)]
     versions = run(entry, *whole, make_update(6), make_update(7, 6))
     assert versions[-1] == 7
+
+
+@pytest.mark.parametrize(
+    ('waited_s', 'age_s'), [(0.01, 0), (0.9, 0), (1.6, 0), (9.0, 7.4)]
+)
+def test_reply_that_was_read_late_counts_as_old(monkeypatch, waited_s, age_s):
+    """Guards against a reply from before a freeze that confirms the table."""
+    now = [100.0]
+
+    class FrozenMailbox(FakeMailbox):
+        def call(self, peer, message, timeout_s):
+            reply = super().call(peer, message, timeout_s)
+            now[0] += waited_s
+            return reply
+
+    monkeypatch.setattr('time.monotonic', lambda: now[0])
+    entry = Entry()
+    follower = TierFollower(
+        FrozenMailbox([make_update(5)]),
+        FakeCodec(),
+        ['leader'],
+        entry.read_position,
+        entry.apply,
+    )
+    follower._poll('leader')
+    assert now[0] - follower.last_reply_at == pytest.approx(age_s)
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -6,13 +6,19 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from shallotgate.aio import AsyncHttpServer, Handler, ServerLimits
+from shallotgate.aio import (
+    AsyncHttpServer,
+    Handler,
+    ServerLimits,
+    register_caller_metrics,
+)
 from shallotgate.consensus import ConsensusOptions, ReplicatedLog
 from shallotgate.extras import RetryGrantPool
 from shallotgate.generated.node import NodeSettings
 from shallotgate.generated.settings import Member
 from shallotgate.logs import get_logger
 from shallotgate.metrics import Metrics
+from shallotgate.node._caller_limits import make_control_totals
 from shallotgate.node._metrics import make_metrics_server
 from shallotgate.node._settings import (
     get_listen_address,
@@ -25,6 +31,7 @@
     ListingPoller,
     OperatorService,
     PermitService,
+    QuotaService,
     RegistryClient,
     RegistryState,
     RetryGrantService,
@@ -71,7 +78,7 @@
         self,
         settings: NodeSettings,
         codec: TableCodec,
-        listing: TargetListing,
+        make_listing: Callable[[], TargetListing],
         make_handler: Callable[[OperatorService], Handler],
     ) -> None:
         self._metrics = Metrics()
@@ -97,7 +104,7 @@
             options=_CONSENSUS_OPTIONS,
         )
         self._listing = ListingPoller(
-            listing,
+            make_listing,
             source=start_id,
             period_s=max(
                 settings.drain_ms / _MS_PER_S / _POLLS_PER_DRAIN,
@@ -127,11 +134,22 @@
             RetryGrantPool(get_retry_budget_policy(settings)),
         )
         self._permits = PermitService(self._mailbox, self._log, self._limits)
+        self._quotas = QuotaService(
+            self._mailbox,
+            self._log,
+            state,
+            codec,
+            lambda: self._followers.entry_counter.get_silent_share(
+                time.monotonic()
+            ),
+        )
         self._server = AsyncHttpServer(
             settings.operator_address,
             make_handler(OperatorService(self._client, codec)),
             _make_operator_limits,
+            make_control_totals(settings),
         )
+        register_caller_metrics(self._metrics, self._server, 'operators')
         self._metrics_server = make_metrics_server(
             settings.metrics_address,
             self._metrics,
@@ -144,6 +162,12 @@
             'limited_targets',
             lambda: len(self._limits.list_limits(time.monotonic())),
         )
+        self._metrics.register_gauge(
+            'quota_accounts_active', self._quotas.count_active
+        )
+        self._metrics.register_gauge(
+            'quota_accounts_exceeding', self._quotas.count_exceeding
+        )
         self._metrics.register_gauge(
             'disk_suspended', lambda: int(self._log.is_suspended())
         )
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -11,6 +11,7 @@
     ReplyBuffer,
     ReplyLimits,
     Response,
+    register_caller_metrics,
 )
 from shallotgate.errors import ShallotgateError
 from shallotgate.gateway import (
@@ -19,6 +20,8 @@
     Gateway,
     GatewayOptions,
     PermitClient,
+    QuotaClient,
+    QuotaReporter,
     RequestReporter,
     RetryGrantClient,
     TierFollower,
@@ -30,11 +33,16 @@
     FollowTier,
     GrantExtras,
     GrantPermits,
+    GrantShares,
     TierUpdate,
 )
 from shallotgate.generated.node import NodeSettings
 from shallotgate.logs import get_logger
-from shallotgate.metrics import Metrics
+from shallotgate.metrics import Metrics, load_histograms
+from shallotgate.node._caller_limits import (
+    AUXILIARY_TOTALS,
+    make_entry_totals,
+)
 from shallotgate.node._metrics import make_metrics_server
 from shallotgate.node._settings import (
     get_listen_address,
@@ -58,6 +66,9 @@
 # Minimum interval between reports of slow and failing targets, about the
 # publication interval of the leader.
 _REPORT_INTERVAL_S = 0.15
+# Retry delay of requests that are refused because callers hold too much. Those
+# that are ordinary are served within some ten milliseconds.
+_RETRY_SHED_S = 0.1
 # Timeout for the event loop to apply an update.
 _APPLY_TIMEOUT_S = 5.0
 
@@ -101,6 +112,14 @@
             permits=self._permits,
             blocklist=self._blocklist,
         )
+        self._quotas = QuotaClient(
+            lambda ask: self._follower.send_to_leader(ask),
+            lambda: self._gateway.entries,
+            generator,
+            QuotaReporter(self._metrics),
+        )
+        self._gateway.quotas.admission = self._quotas
+        self._gateway.admission.usage = self._quotas
         self._mailbox = Mailbox(
             instance=settings.peer_address,
             start_id=secrets.token_hex(_START_ID_BYTES),
@@ -108,6 +127,7 @@
         )
         self._mailbox.subscribe(GrantExtras, self._on_grant)
         self._mailbox.subscribe(GrantPermits, self._on_permits)
+        self._mailbox.subscribe(GrantShares, self._on_shares)
         self._mailbox.subscribe(BarContent, self._on_bar_content)
         self._mailbox.subscribe(ContentTrial, self._on_content_trial)
         self._follower = TierFollower(
@@ -121,10 +141,14 @@
             settings.caller_address,
             self._gateway.handle,
             self._gateway.get_limits,
+            make_entry_totals(settings),
+            lambda: wire.refuse(503, _RETRY_SHED_S),
         )
+        register_caller_metrics(self._metrics, self._server, 'callers')
         self._ready_server = AsyncHttpServer(
             settings.ready_address,
             self._handle_readiness,
+            totals=AUXILIARY_TOTALS,
         )
         self._metrics_server = make_metrics_server(
             settings.metrics_address,
@@ -140,6 +164,8 @@
         await self._ready_server.start()
         if self._metrics_server is not None:
             await self._metrics_server.start()
+        # While the leader is looked for, rather than with the first answer.
+        self._loop.run_in_executor(None, load_histograms)
 
     async def stop(self) -> None:
         """Signal unreadiness, drain open requests, then stop."""
@@ -180,6 +206,7 @@
             merges_conditions=True,
             entries=self._gateway.entries,
             limits_revision=self._directory.limits_revision,
+            merges_tables=True,
             paces_revision=self._pacer.revision,
         )
 
@@ -207,6 +234,13 @@
                 delivery.message,
             )
 
+    def _on_shares(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._quotas.handle_grant,
+                delivery.message,
+            )
+
     def _on_bar_content(self, delivery: Delivery) -> None:
         if self._loop is not None:
             self._loop.call_soon_threadsafe(
@@ -245,6 +279,11 @@
         # effect.
         if table is not None:
             self._gateway.activate_table(table)
+            self._quotas.set_limits(table.accounts)
+        if table is not None or update.table is None:
+            self._gateway.authenticator.confirm_table(
+                self._follower.last_reply_at
+            )
         if update.domains is not None:
             self._directory.apply_domains_out(
                 update.domains.revision,
