--- a/shallotgate/gateway/_follower.py
+++ b/shallotgate/gateway/_follower.py
@@ -14,6 +14,7 @@
 )
 from shallotgate.generated.messages import (
     AskContentTrial,
+    AskExposure,
     AskExtras,
     AskPermits,
     AskShares,
@@ -98,6 +99,7 @@
         | AskExtras
         | AskPermits
         | AskShares
+        | AskExposure
         | CrashReport
         | AskContentTrial
         | ContentSurvived,
--- a/shallotgate/gateway/_report.py
+++ b/shallotgate/gateway/_report.py
@@ -91,6 +91,18 @@
             self._accounts.add(name)
         self.count('account_requests', account=name)
 
+    def count_version_reply(
+        self, service: str, version: str, route: str, outcome: str
+    ) -> None:
+        """Count a reply of a target during a rollout or after it."""
+        self._metrics.count(
+            'version_replies_total',
+            service=service,
+            version=version,
+            route=route,
+            outcome=outcome,
+        )
+
     @contextmanager
     def observe(self, call: Call) -> Iterator[RequestObservation]:
         """Report the request at the end of the block."""
--- a/shallotgate/registry/_listing.py
+++ b/shallotgate/registry/_listing.py
@@ -60,6 +60,7 @@
         # Term in which the targets were read.
         self._term: int | None = None
         self._targets: Mapping[str, ListedTarget] = {}
+        self._target_list: Sequence[ListedTarget] = ()
         self._revision = 0
         self._changes: list[_Change] = []
         self._callbacks: list[Callable[[], None]] = []
@@ -86,11 +87,6 @@
         """Register a callback for each change; it must not block."""
         self._callbacks.append(callback)
 
-    def list_targets(self) -> Sequence[ListedTarget]:
-        """Return the targets that were read last."""
-        with self._lock:
-            return list(self._targets.values())
-
     def make_update(self, source: str, revision: int) -> ListingUpdate | None:
         """Return the missing changes; None if there are none or no list yet."""
         term = self._get_leading_term()
@@ -103,6 +99,14 @@
                 return self._make_difference(revision) or self._make_full()
             return self._make_full()
 
+    def list_targets(self) -> Sequence[ListedTarget] | None:
+        """Return the targets; None if this leader has not read the list."""
+        term = self._get_leading_term()
+        with self._lock:
+            if term is None or term != self._term:
+                return None
+            return self._target_list
+
     def _run(self) -> None:
         try:
             listing = self._make_listing()
@@ -158,6 +162,7 @@
             ]
             gone = [name for name in previous if name not in targets]
             self._targets = targets
+            self._target_list = tuple(targets.values())
             if self._changes and not changed and not gone:
                 return
             self._revision += 1
