--- a/shallotgate/gateway/_dispatch_contexts.py
+++ b/shallotgate/gateway/_dispatch_contexts.py
@@ -9,6 +9,7 @@
 from shallotgate.extras import RetryBudget
 from shallotgate.gateway._active_table import retain_known
 from shallotgate.gateway._admission import RequestAdmission
+from shallotgate.gateway._admission_report import AdmissionReporter
 from shallotgate.gateway._directory import Directory, Target
 from shallotgate.gateway._latency import LatencyWindow
 from shallotgate.gateway._options import GatewayOptions
@@ -291,7 +292,6 @@
         reporter: RequestReporter,
         retry_grants: RetryGrantSource,
         permits: PermitSource,
-        admission: RequestAdmission,
     ) -> None:
         self._wire = wire
         self._directory = directory
@@ -300,7 +300,9 @@
         self._reporter = reporter
         self._retry_grants = retry_grants
         self._permits = permits
-        self._admission = admission
+        self.admission = RequestAdmission(
+            directory, generator, AdmissionReporter(reporter.metrics)
+        )
         self._chooser = TargetChooser(options.domain, generator)
         self._started_at = time.monotonic()
         self._budgets: dict[str, RetryBudget] = {}
@@ -314,7 +316,7 @@
         """Set the number of entries that share the limits."""
         if count != self.entries:
             self.entries = count
-            self._admission.entries = count
+            self.admission.entries = count
             self._contexts.clear()
 
     def apply_table(self, table: RoutingTable) -> None:
@@ -323,7 +325,7 @@
         The budget of a service that may be named again soon is kept.
         """
         self._contexts.clear()
-        self._admission.apply_table(table)
+        self.admission.apply_table(table)
         now = time.monotonic()
         services = {service.name for service in table.services}
         routes = {route.name for route in table.routes}
@@ -380,9 +382,9 @@
             route=route.name,
             on_event=self._reporter.count,
             record_for_admission=partial(
-                self._admission.record_reply, route.name
+                self.admission.record_reply, route.name
             ),
-            allows_extra=self._admission.allows_extra,
+            allows_extra=self.admission.allows_extra,
         )
 
     def _get_budget(self, service: str) -> RetryBudget:
--- a/shallotgate/gateway/_gateway.py
+++ b/shallotgate/gateway/_gateway.py
@@ -7,8 +7,6 @@
 from shallotgate.aio import IncomingRequest, Response, ServerLimits
 from shallotgate.errors import FindingsError
 from shallotgate.gateway._active_table import ActiveTable
-from shallotgate.gateway._admission import RequestAdmission
-from shallotgate.gateway._admission_report import AdmissionReporter
 from shallotgate.gateway._authenticator import CallerAuthenticator
 from shallotgate.gateway._blocklist import ContentBlocklist
 from shallotgate.gateway._call import Call, make_call, make_single_attempt
@@ -57,9 +55,6 @@
         self.authenticator = CallerAuthenticator(wire, reporter, generator)
         self._active: ActiveTable | None = None
         self._permits = permits
-        self.admission = RequestAdmission(
-            directory, generator, AdmissionReporter(reporter.metrics)
-        )
         self._contexts = DispatchContextCache(
             wire,
             directory,
@@ -68,8 +63,8 @@
             reporter,
             retry_grants,
             permits,
-            self.admission,
         )
+        self.admission = self._contexts.admission
         self._drain = Drain()
         self.quotas = QuotaGate()
 
