--- a/shallotgate/account_limits/_allocator.py
+++ b/shallotgate/account_limits/_allocator.py
@@ -10,9 +10,6 @@
 from shallotgate.generated.messages import ShareGrant, ShareRequest
 from shallotgate.routes import ClientAccount
 
-# Entries state what they hold within this time after a change of the leader, in
-# seconds. Until then an entry that gets nothing uses its own part.
-_SETTLE_S = 1.5
 # Accounts that nobody has asked for during this time are forgotten, in seconds.
 # Their leases have expired and their buckets are full.
 _IDLE_S = 30.0
@@ -48,6 +45,8 @@
         self._lock = threading.Lock()
         # Monotonic time since which this member leads; None if it does not.
         self._active_since: float | None = None
+        # Monotonic time from which on buckets fill.
+        self._filling_since = float('-inf')
         self._ledgers: dict[str, AccountLedger] = {}
         self._refusals = RefusalLog()
         self._lists = AccountLists()
@@ -61,6 +60,7 @@
         """
         with self._lock:
             self._active_since = now
+            self._filling_since = now
             self._ledgers.clear()
             self._refusals.clear()
             self._listed_at = float('-inf')
@@ -81,7 +81,7 @@
         """Return the share of an entry.
 
         ``silent_share`` is the part of the entries, 0 to 1, that have not been
-        heard from lately.
+        heard from lately. While it is 1, entries use their own part.
         """
         account = accounts.get(request.account)
         with self._lock:
@@ -89,14 +89,13 @@
             if since is None or account is None or not is_limited(account):
                 return _UNDECIDED
             self._evict_idle(now)
+            is_settled = silent_share < 1
+            if not is_settled:
+                self._filling_since = now
             ledger = self._ledgers.get(account.name)
             if ledger is None:
-                ledger = AccountLedger(account, since)
+                ledger = AccountLedger(account, since, self._filling_since)
                 self._ledgers[account.name] = ledger
-            is_settled = now - since >= _SETTLE_S
-            if not is_settled:
-                # All entries still use their own part.
-                silent_share = 1
             ledger.advance(account, silent_share, now)
             ledger.record(request, now)
             rate = ledger.lease(entry, request, now, is_settled=is_settled)
@@ -104,7 +103,8 @@
             ledger.advance(account, silent_share, now)
             grant = ledger.grant(entry, request, now)
             is_refused = grant.places < request.waiting
-            self._refusals.record(ledger, is_refused=is_refused, now=now)
+            if is_settled:
+                self._refusals.record(ledger, is_refused=is_refused, now=now)
             return replace(
                 grant,
                 rate_per_s=rate,
--- a/shallotgate/account_limits/_ledger.py
+++ b/shallotgate/account_limits/_ledger.py
@@ -51,7 +51,13 @@
 class AccountLedger:
     """Token bucket, leases and demand of one account on the leader."""
 
-    def __init__(self, account: ClientAccount, leading_since: float) -> None:
+    def __init__(
+        self,
+        account: ClientAccount,
+        leading_since: float,
+        filling_since: float,
+    ) -> None:
+        """Start with what has been saved up since a time."""
         self._account = account
         self._since = leading_since
         self._leases: dict[str, _Lease] = {}
@@ -63,7 +69,7 @@
         # Rate at which the bucket fills.
         self._open_per_s = account.rate_per_s
         self._bucket = TokenBucket(
-            account.rate_per_s, get_capacity(account), leading_since
+            account.rate_per_s, get_capacity(account), filling_since
         )
         self._bucket.level = min(INITIAL_PLACES, get_capacity(account))
         self.used_at = leading_since
--- a/shallotgate/registry/_entry_counter.py
+++ b/shallotgate/registry/_entry_counter.py
@@ -9,6 +9,9 @@
 # An entry is silent if it has not asked for this time, in seconds. It asks
 # again within a second of the last answer.
 _SILENT_S = 2.0
+# Entries state what they hold within this time after a change of the leader, in
+# seconds.
+_STATEMENT_S = 1.5
 # A silent entry may still serve callers for this time, in seconds.
 _SILENT_TTL_S = 60.0
 
@@ -70,11 +73,15 @@
     def get_silent_share(self, now: float) -> float:
         """Return the part of the entries that have not been heard from lately.
 
-        They may serve callers without this leader. 0 to 1.
+        They may serve callers without this leader. 0 to 1; 1 at a new leader
+        until the entries of the former one have stated what they hold.
         """
         with self._lock:
             ages = [now - at for at in self._last_requests.values()]
             since = self._leading_since
+            is_new = since is not None and now - since < _STATEMENT_S
+            if is_new and self._inherited:
+                return 1
             heard = sum(age < _SILENT_S for age in ages)
             known = sum(age < _SILENT_TTL_S for age in ages)
             if since is None or now - since < _SILENT_TTL_S:
