--- a/shallotgate/gateway/tests/test_rollouts.py
+++ b/shallotgate/gateway/tests/test_rollouts.py
@@ -26,7 +26,7 @@
         super().__init__(1, targets=targets, **options)
         self.tracker = self.directory.versions.tracker
 
-    def _list_targets(self):
+    def list_targets(self, revision=1):
         listed = [
             ListedTarget(
                 target=target.name,
@@ -38,9 +38,12 @@
             for target in self.targets['s0']
         ]
         self.directory.update(
-            ListingUpdate(source='x', revision=1, full=True, targets=listed)
+            ListingUpdate(
+                source='x', revision=revision, full=True, targets=listed
+            )
         )
         self.restore_pools()
+        return listed
 
     def restore_pools(self):
         by_name = {target.name: target for target in self.targets['s0']}
