--- a/shallotgate/account_limits/_admission.py
+++ b/shallotgate/account_limits/_admission.py
@@ -6,9 +6,10 @@
 
 from shallotgate.routes import ClientAccount
 
-# What decided: a share that the entry held, the leader, an earlier answer of
-# the leader that still applies, or the entry's own part without a leader.
-Decider = Literal['share', 'leader', 'earlier_answer', 'fallback']
+# What decided: a share that the entry held, its credit for an account that is
+# far from its limit, the leader, an earlier answer of the leader that still
+# applies, or the entry's own part without a leader.
+Decider = Literal['share', 'credit', 'leader', 'earlier_answer', 'fallback']
 
 
 @dataclass(frozen=True)
--- a/shallotgate/account_limits/_ledger.py
+++ b/shallotgate/account_limits/_ledger.py
@@ -140,7 +140,10 @@
         self._usual.add(now, received)
         returned = max(request.returned, 0)
         bucket = self._bucket
-        bucket.level = min(bucket.level + returned, bucket.capacity)
+        # What was admitted on credit may exceed what is left; it is paid back
+        # before anything else is granted.
+        level = bucket.level + returned - max(request.credited, 0)
+        bucket.level = min(level, bucket.capacity)
 
     def lease(
         self,
--- a/shallotgate/account_limits/_limits.py
+++ b/shallotgate/account_limits/_limits.py
@@ -61,6 +61,10 @@
 _MIN_USED_SHARE = 0.3
 # Part of its limit from which on an account is near it.
 _NEAR_LIMIT = 0.8
+# Part of its limit below which entries admit requests of an account on credit,
+# without waiting for the leader. Usual demand is about half of what a limit
+# allows in a window.
+CREDIT_USAGE = 0.7
 
 
 def is_limited(account: ClientAccount) -> bool:
--- a/shallotgate/account_limits/_share.py
+++ b/shallotgate/account_limits/_share.py
@@ -2,8 +2,9 @@
 
 from collections import deque
 
-from shallotgate.account_limits._demand import EntryDemand
+from shallotgate.account_limits._demand import DemandEstimate, EntryDemand
 from shallotgate.account_limits._limits import (
+    CREDIT_USAGE,
     LEASE_FACTOR,
     LEASE_S,
     MIN_ACTIVE_PER_S,
@@ -26,6 +27,11 @@
 # is not leased.
 _USAGE_TTL_S = 10.0
 _OPEN_SHARE_TTL_S = 60.0
+# Requests that may be admitted on credit before the leader has answered, and
+# time constant of the usual demand in seconds: without a leader credit grows at
+# that rate, so that all entries together admit about the usual demand.
+_CREDIT = 1.0
+_USUAL_S = 15.0
 
 
 class AccountShare:
@@ -56,10 +62,16 @@
         self._usage: float = 0
         self._open_share: float = 0
         self._usage_at = float('-inf')
+        self._usual = DemandEstimate(_USUAL_S)
+        self._credit = TokenBucket(0, _CREDIT, now)
+        self._credit.level = _CREDIT
+        # Requests admitted on credit that the leader does not know of.
+        self._credited = 0
 
     def count(self, now: float) -> None:
         """Count a request of the account."""
         self.demand.add(now)
+        self._usual.add(now)
         self._received += 1
 
     def take(self, now: float) -> bool:
@@ -77,6 +89,19 @@
             self._places.popleft()
         return True
 
+    def take_credit(self, now: float) -> bool:
+        """Admit a request that the leader learns of afterwards, if possible."""
+        if self.read_usage(now) >= CREDIT_USAGE:
+            return False
+        credit = self._credit
+        credit.advance_to(now)
+        credit.set_rate(self._usual.read(now), _CREDIT)
+        if credit.level < 1:
+            return False
+        credit.level -= 1
+        self._credited += 1
+        return True
+
     def is_refused(self, now: float) -> bool:
         """Return whether the last answer still says that there is no room."""
         return now < self._refused_until
@@ -110,7 +135,7 @@
         """Return whether anything is to be stated, kept or given up."""
         self._expire(now)
         is_holding = self._places or self._rate_per_s
-        is_unstated = self._returned or self._is_rate_stated
+        is_unstated = self._returned or self._credited or self._is_rate_stated
         is_active = self.demand.read(now) >= MIN_ACTIVE_PER_S
         return bool(is_holding or is_unstated or is_active)
 
@@ -133,10 +158,12 @@
             places=sum(count for _, count in self._places),
             returned=self._returned + unused,
             received=self._received,
+            credited=self._credited,
         )
         # Not stated again if no answer comes: the leader may have counted it.
         self._returned = 0
         self._received = 0
+        self._credited = 0
         self._is_rate_stated = bool(self._rate_per_s)
         return request
 
@@ -152,6 +179,7 @@
         self._usage = grant.usage
         self._open_share = grant.open_share
         self._usage_at = now
+        self._credit.level = _CREDIT
         self._set_rate(grant.rate_per_s, asked_at + LEASE_S, now)
         expires_at = asked_at + PLACE_LIFETIME_S
         if expires_at <= now:
--- a/shallotgate/account_limits/_shares.py
+++ b/shallotgate/account_limits/_shares.py
@@ -27,6 +27,7 @@
 # not come back at the same moment.
 _SPREAD = (1.0, 1.25)
 _ADMITTED = QuotaDecision(is_admitted=True, decided_by='share')
+_CREDITED = QuotaDecision(is_admitted=True, decided_by='credit')
 _GRANTED = QuotaDecision(is_admitted=True, decided_by='leader')
 
 
@@ -85,6 +86,8 @@
                 decided_by='earlier_answer',
                 retry_after_s=share.line.take(now),
             )
+        if self._is_creditworthy(account, now) and share.take_credit(now):
+            return _CREDITED
         return None
 
     def decide_alone(
@@ -169,6 +172,11 @@
         share = self._shares.get(account)
         return share.read_usage(now) if share else 0
 
+    def _is_creditworthy(self, account: ClientAccount, now: float) -> bool:
+        """Return whether the account was not near its limit lately."""
+        is_known = now - self._listed_at < _LISTS_TTL_S
+        return is_known and account.name not in self._exceeding
+
     def _get(self, account: ClientAccount, now: float) -> AccountShare:
         share = self._shares.get(account.name)
         if share is None:
--- a/shallotgate/gateway/_account_quotas.py
+++ b/shallotgate/gateway/_account_quotas.py
@@ -83,6 +83,9 @@
         else:
             self._reporter.record(account, decision, now)
             callback(decision)
+        if decision is not None and decision.decided_by == 'credit':
+            # The leader learns of it at once, and the entry of the usage.
+            self._exchange.ask(None, _ignore)
         if self._renewal is None:
             self._set_renewal()
 
