--- a/shallotgate/account_limits/_fallback.py
+++ b/shallotgate/account_limits/_fallback.py
@@ -15,6 +15,8 @@
 # together may use at once, in seconds: longer than any usual time without a
 # leader.
 _REDRAW_S = 30.0
+# Requests of a calm account that an entry admits at once without the leader.
+_CALM_PLACES = 2
 # Time to wait if nothing is known of when there is room, in seconds.
 _UNKNOWN_WAIT_S = 0.5
 
@@ -49,6 +51,8 @@
         # Times at which it was drawn whether this entry may use a place, and
         # whether it may.
         self._drawn_at: dict[str, float] = {}
+        # The same for credit: the time, and whether this entry may give it.
+        self._credit_draws: dict[str, tuple[float, bool]] = {}
 
     def reset(self, now: float) -> None:
         """Forget what has no effect any more: the leader answers again.
@@ -64,6 +68,23 @@
             if now - drawn_at < _REDRAW_S
         }
 
+    def may_credit(
+        self, account: ClientAccount, entries: int, now: float
+    ) -> bool:
+        """Return whether this entry may admit a request on credit.
+
+        If the leader is lost, as many entries have done so as would otherwise
+        use a place without it.
+        """
+        drawn_at, is_allowed = self._credit_draws.get(
+            account.name, (float('-inf'), False)
+        )
+        if entries and now - drawn_at >= _REDRAW_S:
+            places = get_fallback_places(account, is_near_limit=False)
+            is_allowed = self._generator.random() < places / entries
+            self._credit_draws[account.name] = (now, is_allowed)
+        return is_allowed
+
     def admit(
         self,
         account: ClientAccount,
@@ -78,7 +99,11 @@
         if state.is_calm:
             return self._admit_calm(account, now)
         places = get_fallback_places(account, is_near_limit=state.is_near_limit)
-        if entries and self._draw(account.name, places / entries, now):
+        drawn_at, _ = self._credit_draws.get(
+            account.name, (float('-inf'), False)
+        )
+        may_draw = entries and now - drawn_at >= _REDRAW_S
+        if may_draw and self._draw(account.name, places / entries, now):
             return 0
         request = PermitRequest(
             scope='', priority=0, needed=1, choices=[[account.name]]
@@ -96,11 +121,11 @@
     def _admit_calm(self, account: ClientAccount, now: float) -> float:
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = TokenBucket(account.rate_per_s, 1, now)
-            bucket.level = 1
+            bucket = TokenBucket(account.rate_per_s, _CALM_PLACES, now)
+            bucket.level = _CALM_PLACES
             self._buckets[account.name] = bucket
         bucket.advance_to(now)
-        bucket.set_rate(account.rate_per_s, 1)
+        bucket.set_rate(account.rate_per_s, _CALM_PLACES)
         if bucket.level >= 1:
             bucket.level -= 1
             return 0
--- a/shallotgate/account_limits/_ledger.py
+++ b/shallotgate/account_limits/_ledger.py
@@ -140,9 +140,12 @@
         self._usual.add(now, received)
         returned = max(request.returned, 0)
         bucket = self._bucket
-        # What was admitted on credit may exceed what is left; it is paid back
-        # before anything else is granted.
         level = bucket.level + returned - max(request.credited, 0)
+        # What was admitted on credit may exceed what is left; it is paid back
+        # before anything else is granted. A new leader has little left, and may
+        # hear of credit that was given before it led.
+        if now - self._since < WINDOW_S:
+            level = max(level, min(bucket.level, 0))
         bucket.level = min(level, bucket.capacity)
 
     def lease(
--- a/shallotgate/account_limits/_share.py
+++ b/shallotgate/account_limits/_share.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from shallotgate.account_limits._demand import DemandEstimate, EntryDemand
+from shallotgate.account_limits._demand import EntryDemand
 from shallotgate.account_limits._limits import (
     CREDIT_USAGE,
     LEASE_FACTOR,
@@ -27,11 +27,9 @@
 # is not leased.
 _USAGE_TTL_S = 10.0
 _OPEN_SHARE_TTL_S = 60.0
-# Requests that may be admitted on credit before the leader has answered, and
-# time constant of the usual demand in seconds: without a leader credit grows at
-# that rate, so that all entries together admit about the usual demand.
-_CREDIT = 1.0
-_USUAL_S = 15.0
+# Requests that may be admitted on credit until the leader has answered. Without
+# a leader each entry admits no more, as a surge could exceed the limit.
+_CREDIT = 1
 
 
 class AccountShare:
@@ -62,16 +60,13 @@
         self._usage: float = 0
         self._open_share: float = 0
         self._usage_at = float('-inf')
-        self._usual = DemandEstimate(_USUAL_S)
-        self._credit = TokenBucket(0, _CREDIT, now)
-        self._credit.level = _CREDIT
+        self._credit = _CREDIT
         # Requests admitted on credit that the leader does not know of.
         self._credited = 0
 
     def count(self, now: float) -> None:
         """Count a request of the account."""
         self.demand.add(now)
-        self._usual.add(now)
         self._received += 1
 
     def take(self, now: float) -> bool:
@@ -91,14 +86,9 @@
 
     def take_credit(self, now: float) -> bool:
         """Admit a request that the leader learns of afterwards, if possible."""
-        if self.read_usage(now) >= CREDIT_USAGE:
+        if not self._credit or self.read_usage(now) >= CREDIT_USAGE:
             return False
-        credit = self._credit
-        credit.advance_to(now)
-        credit.set_rate(self._usual.read(now), _CREDIT)
-        if credit.level < 1:
-            return False
-        credit.level -= 1
+        self._credit -= 1
         self._credited += 1
         return True
 
@@ -179,7 +169,7 @@
         self._usage = grant.usage
         self._open_share = grant.open_share
         self._usage_at = now
-        self._credit.level = _CREDIT
+        self._credit = _CREDIT
         self._set_rate(grant.rate_per_s, asked_at + LEASE_S, now)
         expires_at = asked_at + PLACE_LIFETIME_S
         if expires_at <= now:
--- a/shallotgate/account_limits/_shares.py
+++ b/shallotgate/account_limits/_shares.py
@@ -59,6 +59,8 @@
         self._busy: frozenset[str] = frozenset()
         self._exceeding: frozenset[str] = frozenset()
         self._listed_at = float('-inf')
+        # Number of entries that share the limits; 0 if it is unknown.
+        self.entries = 0
         # Time since which the leader has not decided; None if it has.
         self._alone_since: float | None = None
 
@@ -174,8 +176,14 @@
 
     def _is_creditworthy(self, account: ClientAccount, now: float) -> bool:
         """Return whether the account was not near its limit lately."""
-        is_known = now - self._listed_at < _LISTS_TTL_S
-        return is_known and account.name not in self._exceeding
+        if now - self._listed_at >= _LISTS_TTL_S:
+            return False
+        if account.name in self._exceeding:
+            return False
+        is_busy = account.name in self._busy
+        if not is_busy and is_calm(account, 0, 0):
+            return True
+        return self._fallback.may_credit(account, self.entries, now)
 
     def _get(self, account: ClientAccount, now: float) -> AccountShare:
         share = self._shares.get(account.name)
@@ -190,7 +198,8 @@
         open_share = share.read_open_share(now)
         if now - self._listed_at >= _LISTS_TTL_S:
             return AccountState(
-                open_share=open_share, alone_since=self._alone_since
+                open_share=open_share,
+                alone_since=self._alone_since,
             )
         is_busy = account.name in self._busy
         return AccountState(
--- a/shallotgate/gateway/_account_quotas.py
+++ b/shallotgate/gateway/_account_quotas.py
@@ -75,8 +75,8 @@
 
         It may be called before this method returns.
         """
-
         now = time.monotonic()
+        self._shares.entries = self._count_entries()
         decision = self._shares.decide(account, now)
         if decision is None:
             self._ask(account, callback)
