--- a/shallotgate/account_limits/_share.py
+++ b/shallotgate/account_limits/_share.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 
+from shallotgate.account_limits._credit import Credit
 from shallotgate.account_limits._demand import EntryDemand
 from shallotgate.account_limits._limits import (
-    CREDIT_USAGE,
     LEASE_FACTOR,
     LEASE_S,
     MIN_ACTIVE_PER_S,
@@ -27,9 +27,6 @@
 # is not leased.
 _USAGE_TTL_S = 10.0
 _OPEN_SHARE_TTL_S = 60.0
-# Requests that may be admitted on credit until the leader has answered. Without
-# a leader each entry admits no more, as a surge could exceed the limit.
-_CREDIT = 1
 
 
 class AccountShare:
@@ -60,9 +57,7 @@
         self._usage: float = 0
         self._open_share: float = 0
         self._usage_at = float('-inf')
-        self._credit = _CREDIT
-        # Requests admitted on credit that the leader does not know of.
-        self._credited = 0
+        self.credit = Credit()
 
     def count(self, now: float) -> None:
         """Count a request of the account."""
@@ -84,14 +79,6 @@
             self._places.popleft()
         return True
 
-    def take_credit(self, now: float) -> bool:
-        """Admit a request that the leader learns of afterwards, if possible."""
-        if not self._credit or self.read_usage(now) >= CREDIT_USAGE:
-            return False
-        self._credit -= 1
-        self._credited += 1
-        return True
-
     def is_refused(self, now: float) -> bool:
         """Return whether the last answer still says that there is no room."""
         return now < self._refused_until
@@ -125,7 +112,9 @@
         """Return whether anything is to be stated, kept or given up."""
         self._expire(now)
         is_holding = self._places or self._rate_per_s
-        is_unstated = self._returned or self._credited or self._is_rate_stated
+        is_unstated = (
+            self._returned or self.credit.unreported or self._is_rate_stated
+        )
         is_active = self.demand.read(now) >= MIN_ACTIVE_PER_S
         return bool(is_holding or is_unstated or is_active)
 
@@ -148,12 +137,11 @@
             places=sum(count for _, count in self._places),
             returned=self._returned + unused,
             received=self._received,
-            credited=self._credited,
+            credited=self.credit.drain(),
         )
         # Not stated again if no answer comes: the leader may have counted it.
         self._returned = 0
         self._received = 0
-        self._credited = 0
         self._is_rate_stated = bool(self._rate_per_s)
         return request
 
@@ -169,7 +157,7 @@
         self._usage = grant.usage
         self._open_share = grant.open_share
         self._usage_at = now
-        self._credit = _CREDIT
+        self.credit.renew()
         self._set_rate(grant.rate_per_s, asked_at + LEASE_S, now)
         expires_at = asked_at + PLACE_LIFETIME_S
         if expires_at <= now:
--- a/shallotgate/account_limits/_shares.py
+++ b/shallotgate/account_limits/_shares.py
@@ -6,6 +6,7 @@
 from shallotgate.account_limits._admission import QuotaDecision
 from shallotgate.account_limits._fallback import AccountState, QuotaFallback
 from shallotgate.account_limits._limits import (
+    CREDIT_USAGE,
     PLACE_LIFETIME_S,
     is_calm,
     is_limited,
@@ -88,7 +89,7 @@
                 decided_by='earlier_answer',
                 retry_after_s=share.line.take(now),
             )
-        if self._is_creditworthy(account, now) and share.take_credit(now):
+        if self._is_creditworthy(share, now) and share.credit.take():
             return _CREDITED
         return None
 
@@ -174,8 +175,11 @@
         share = self._shares.get(account)
         return share.read_usage(now) if share else 0
 
-    def _is_creditworthy(self, account: ClientAccount, now: float) -> bool:
+    def _is_creditworthy(self, share: AccountShare, now: float) -> bool:
         """Return whether the account was not near its limit lately."""
+        account = share.account
+        if share.read_usage(now) >= CREDIT_USAGE:
+            return False
         if now - self._listed_at >= _LISTS_TTL_S:
             return False
         if account.name in self._exceeding:
