--- a/shallotgate/pacing/tests/test_limiter.py
+++ b/shallotgate/pacing/tests/test_limiter.py
@@ -132,7 +132,8 @@
             entry.gateway._active.table.services[0],
         )
         await entry.send_request('first')
-        return len(context._list_usable('s0', context._make_pace(100), 1e9))
+        targets = entry.directory.list_usable('s0')
+        return len(context._list_open(targets, context._make_pace(100), 1e9))
 
     assert run_virtual(play(None, 0)) == 0
     assert run_virtual(play(5, 0)) == 3
