--- a/shallotgate/aio/_caller_connection.py
+++ b/shallotgate/aio/_caller_connection.py
@@ -30,6 +30,9 @@
     handler: Handler
     # Whether answers ask callers to connect anew.
     is_closing: bool
+    # Whether requests that were read are handled although their callers have
+    # left without the answer.
+    completes_requests: bool
     totals: 'CallerTotals[CallerConnection]'
     connections: 'set[CallerConnection]'
 
@@ -45,6 +48,9 @@
     def count(self, event: str) -> None:
         """Count a caller that was shed or rejected."""
 
+    def complete(self, request: IncomingRequest) -> None:
+        """Handle a request whose caller has left."""
+
     def shed_excess(self) -> None:
         """Shed callers until all limits over all connections hold."""
 
@@ -120,11 +126,17 @@
         self._can_write.set()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel what is under way for the caller."""
+        """Cancel what is under way for the caller.
+
+        A server that completes requests still handles those that were read.
+        """
         self._server.connections.discard(self)
         self._server.totals.remove(self)
         if self._task is not None:
             self._task.cancel()
+        if self._server.completes_requests:
+            for request, _ in self._requests:
+                self._server.complete(request)
 
     def find_overdue(
         self, now: float, limits: ServerLimits, progress_timeout_ms: int
--- a/shallotgate/aio/_server.py
+++ b/shallotgate/aio/_server.py
@@ -9,7 +9,12 @@
 
 from shallotgate.aio._caller_connection import CallerConnection
 from shallotgate.aio._caller_totals import CallerTotals, TotalLimits
-from shallotgate.aio._message import Handler, Response, ServerLimits
+from shallotgate.aio._message import (
+    Handler,
+    IncomingRequest,
+    Response,
+    ServerLimits,
+)
 from shallotgate.logs import get_logger
 
 _LOGGER = get_logger('http')
@@ -72,10 +77,21 @@
         self._new_events: Counter[str] = Counter()
         # Whether answers ask callers to connect anew.
         self.is_closing = False
+        # Whether requests that were read are handled although their callers
+        # have left without the answer.
+        self.completes_requests = False
+        self._completing: set[asyncio.Future[Response]] = set()
         self._address = address
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
+    def complete(self, request: IncomingRequest) -> None:
+        """Handle a request whose caller has left."""
+        handling = asyncio.ensure_future(self.handler(request))
+        # The loop itself holds no reference that keeps it alive.
+        self._completing.add(handling)
+        handling.add_done_callback(self._completing.discard)
+
     @property
     def bound_address(self) -> str:
         """Host and port, with the port that was chosen for 0."""
--- a/shallotgate/http/_server.py
+++ b/shallotgate/http/_server.py
@@ -68,6 +68,8 @@
             refuse=_refuse,
             reject=lambda status: _reject(status, max_body_bytes),
         )
+        # An operator's change is applied although its answer is not read.
+        self.server.completes_requests = True
         self._thread = threading.Thread(
             target=self._serve, name='http', daemon=True
         )
@@ -115,7 +117,9 @@
 
     async def _handle(self, incoming: aio.IncomingRequest) -> aio.Response:
         loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._workers, self._answer, incoming)
+        answering = loop.run_in_executor(self._workers, self._answer, incoming)
+        # Not cancelled with its caller's connection.
+        return await asyncio.shield(answering)
 
     def _answer(self, incoming: aio.IncomingRequest) -> aio.Response:
         try:
