--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -75,12 +75,14 @@
     def __init__(self, record, services, copies=2, work_s=0.01):
         self.record = record
         self.instances = []
+        self.servers = {}
+        self._work_s = work_s
         self._loop = asyncio.new_event_loop()
         started = threading.Event()
 
         def run():
             asyncio.set_event_loop(self._loop)
-            self._loop.run_until_complete(self._start(services, copies, work_s))
+            self._loop.run_until_complete(self._start(services, copies))
             started.set()
             self._loop.run_forever()
 
@@ -88,18 +90,12 @@
         if not started.wait(10):
             raise TimeoutError('the platform did not start')
 
-    async def _start(self, services, copies, work_s):
+    async def _start(self, services, copies):
         for service in services:
             for copy in range(copies):
                 name = f'i-{service}-{copy}'
-                server = await asyncio.start_server(
-                    lambda reader, writer, name=name: self._serve(
-                        reader, writer, name, work_s
-                    ),
-                    '127.0.0.1',
-                    0,
-                )
-                port = server.sockets[0].getsockname()[1]
+                await self.listen(name, ('127.0.0.1', 0))
+                port = self.servers[name].sockets[0].getsockname()[1]
                 self.instances.append(
                     {
                         'Id': name,
@@ -115,10 +111,28 @@
         server = await asyncio.start_server(self._list, '127.0.0.1', 0)
         self.address = '127.0.0.1:%d' % server.sockets[0].getsockname()[1]
 
+    async def listen(self, name, address):
+        """Listen as a backend; port 0 stands for any."""
+        self.servers[name] = await asyncio.start_server(
+            lambda reader, writer: self._serve(
+                reader, writer, name, self._work_s
+            ),
+            *address,
+        )
+        if address[1]:
+            self.record.write('backend', name, 'is back')
+
+    def list_instances(self):
+        """Return the entries of the list as of now."""
+        return self.instances
+
     async def _list(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while await reader.readuntil(b'\r\n\r\n'):
-                page = {'Instances': self.instances, 'NextToken': None}
+                page = {
+                    'Instances': self.list_instances(),
+                    'NextToken': None,
+                }
                 body = json.dumps(page).encode()
                 writer.write(
                     b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
