--- a/review/10/case.py
+++ b/review/10/case.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -36,6 +37,11 @@
 DOWN_S = 3
 BACKENDS = 6
 POISON = '/again/poison'
+# Other clients, and the time that their requests take.
+CLIENTS = 6
+WORK_S = 0.2
+# Pause after a refusal or a failure.
+RETURN_AFTER_S = 0.2
 # Pause between two times at which the client sends the request again.
 RETURN_S = 6
 HELD, BROKEN, FAILED = 0, 1, 2
@@ -86,6 +92,21 @@
     return tier.request(entry, POISON, f'poison{number:03d}')
 
 
+def send_others(tier, client, stopped, lost):
+    """Send requests of others that may run once only; note those lost."""
+    number = 0
+    while not stopped.is_set():
+        request_id = f'c{client}-{number}'
+        # Each has a path of its own: content that was in flight at the crashes
+        # of other content is refused like that.
+        entry = f'entry-{client % 2}'
+        status = tier.request(entry, f'/once/{request_id}', request_id)
+        if status == 502:
+            lost.append(request_id)
+        time.sleep(0.02 if status == 200 else RETURN_AFTER_S)
+        number += 1
+
+
 def count_retries(platform):
     """Return the retries that reached backends, as the rule counts them."""
     if len(platform.arrivals) < COUNTED_CRASHES:
@@ -108,13 +129,23 @@
 def run(record, platform, tier, *, has_trouble):
     for name in tier.machines:
         tier.start(name, bootstrap=True)
-    routes = [make_route('again', '/again/', 'p1')]
+    routes = [
+        make_route('again', '/again/', 'p1'),
+        make_route('once', '/once/', 'p1', RouteType='non_idempotent'),
+    ]
     if tier.publish(make_document(5, routes, ['p1']), 20) is None:
         return FAILED
     for entry in ('entry-0', 'entry-1'):
         if not tier.wait_served(entry, '/again/x', 20):
             return FAILED
     time.sleep(CONTACT_S)
+    # Requests of others whose backend ended while it was at work on them.
+    lost = []
+    stopped = threading.Event()
+    for client in range(CLIENTS):
+        threading.Thread(
+            target=send_others, args=(tier, client, stopped, lost), daemon=True
+        ).start()
     number = 0
     # The first times, until it has crashed three backends.
     while len(platform.arrivals) < COUNTED_CRASHES and number < 10:
@@ -137,7 +168,9 @@
             send_poison(tier, number)
             number += 1
         time.sleep(RETURN_S)
+    stopped.set()
     retries = count_retries(platform)
+    record.write(f'{len(lost)} requests of others were lost with backends')
     record.write(
         f'{number} times sent, {retries} retries reached backends later than '
         f'{CONTACT_S} s after the third crash; {MAX_RETRIES} may'
@@ -148,7 +181,7 @@
 def main():
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(HERE / 'record.txt')
-    platform = CrashingPlatform(record, ['p1'], copies=BACKENDS)
+    platform = CrashingPlatform(record, ['p1'], copies=BACKENDS, work_s=WORK_S)
     tier = Deployment(record, platform, 3, 2, BOUNDS)
     try:
         status = run(record, platform, tier, has_trouble=has_trouble)
