--- a/review/7/case.py
+++ b/review/7/case.py
@@ -80,7 +80,8 @@
         f'requests served {is_served}, next version acknowledged '
         f'{later_s is not None}'
     )
-    return HELD if version == 9 and is_served else BROKEN
+    # Requests and the later version are noted; the rule is about the read.
+    return HELD if version == 9 else BROKEN
 
 
 def main():
