Keep a control group from falling below the disk losses it has tolerated

Cause: the leader took the vote from silent members as soon as an instance asked to join, down to three voters whatever the size of the group, and gave the newcomer its vote afterwards. Six voters became three, then four, of which three have to agree. Two lost disks leave two of four; members that were removed can't help, though their disks are intact. The same happened beside a replaced disk: while its member has no vote, the group is of even size, and a silent voter was removed from it.

A voter is removed only if the rest still tolerates as many; otherwise its successor gets a vote first. A vote that raises the number is granted only while all voters respond, as a lost voter that counted could not be removed any more. Records of former builds state no number; it is taken from their voters. Nothing has to be stated in the settings.

Why it works: with 2f + 1 voters or more, what a majority has committed is on a disk that remains when f are lost, and those that remain form a majority.

--- a/shallotgate/consensus/_follower.py
+++ b/shallotgate/consensus/_follower.py
@@ -3,7 +3,7 @@
 import time
 from functools import partial
 
-from shallotgate.consensus._group import Group, encode_group
+from shallotgate.consensus._group import encode_group, read_member_list
 from shallotgate.consensus._member_state import MemberState
 from shallotgate.errors import InvariantError
 from shallotgate.generated.messages import (
@@ -138,12 +138,11 @@
         return True
 
     def _install_snapshot(self, message: InstallSnapshot) -> None:
-        group = Group(tuple(message.members.members))
         self._state.install(
             Snapshot(
                 index=message.index,
                 term=message.last_term,
-                members=encode_group(group),
+                members=encode_group(read_member_list(message.members)),
                 state=bytes(self._received_chunks),
             ),
         )
--- a/shallotgate/consensus/_group.py
+++ b/shallotgate/consensus/_group.py
@@ -1,11 +1,16 @@
 """Membership of the control group."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from shallotgate.codec import decode_tagged, encode_tagged
 from shallotgate.generated.messages import MemberIdentity, MemberList
 
+# The least number of voters of a group that has had more. If one of two voters
+# lost its disk, the other could never commit anything again, even if the member
+# that was removed came back.
+_MIN_VOTERS = 3
+
 
 @dataclass(frozen=True)
 class Group:
@@ -22,6 +27,34 @@
     """
 
     members: tuple[MemberIdentity, ...] = ()
+    # Number of lost voters that this group or a former one could survive.
+    known_tolerance: int = 0
+
+    @property
+    def tolerance(self) -> int:
+        """Greatest number of lost voters that the group has ever survived.
+
+        >>> voters = [
+        ...     MemberIdentity(instance=name, identity=name, voter=True)
+        ...     for name in 'abcdef'
+        ... ]
+        >>> Group(tuple(voters)).without('a').without('b').tolerance
+        2
+        """
+        return max(self.known_tolerance, (len(self.voters) - 1) // 2)
+
+    @property
+    def min_voters(self) -> int:
+        """Least number of voters that keeps the tolerance.
+
+        >>> voters = [
+        ...     MemberIdentity(instance=name, identity=name, voter=True)
+        ...     for name in 'abcdef'
+        ... ]
+        >>> [Group(tuple(voters[:size])).min_voters for size in (2, 4, 5, 6)]
+        [3, 3, 5, 5]
+        """
+        return max(2 * self.tolerance + 1, _MIN_VOTERS)
 
     @property
     def voters(self) -> frozenset[str]:
@@ -62,13 +95,11 @@
         self, instance: str, identity: str, *, voter: bool
     ) -> 'Group':
         """Return the group with the identity of one instance replaced."""
-        return Group(
-            tuple(
-                replace(member, identity=identity, voter=voter)
-                if member.instance == instance
-                else member
-                for member in self.members
-            ),
+        return self._with_members(
+            replace(member, identity=identity, voter=voter)
+            if member.instance == instance
+            else member
+            for member in self.members
         )
 
     def with_learner(self, instance: str, identity: str) -> 'Group':
@@ -78,22 +109,33 @@
             identity=identity,
             voter=False,
         )
-        return Group((*self.members, learner))
+        return self._with_members((*self.members, learner))
 
     def without(self, instance: str) -> 'Group':
         """Return the group without the member of an instance."""
-        return Group(
-            tuple(
-                member for member in self.members if member.instance != instance
-            ),
+        return self._with_members(
+            member for member in self.members if member.instance != instance
         )
 
+    def _with_members(self, members: Iterable[MemberIdentity]) -> 'Group':
+        return Group(tuple(members), self.tolerance)
+
+
+def make_member_list(group: Group) -> MemberList:
+    """Return the message that describes a group."""
+    return MemberList(members=list(group.members), tolerance=group.tolerance)
+
+
+def read_member_list(message: MemberList) -> Group:
+    """Return the group that a message describes."""
+    return Group(tuple(message.members), message.tolerance)
+
 
 def encode_group(group: Group) -> bytes:
     """Encode a group as the payload of a members record."""
-    return encode_tagged(MemberList(members=list(group.members)))
+    return encode_tagged(make_member_list(group))
 
 
 def decode_group(payload: bytes) -> Group:
     """Decode the payload of a members record."""
-    return Group(tuple(decode_tagged(payload).members))
+    return read_member_list(decode_tagged(payload))
--- a/shallotgate/consensus/_leadership.py
+++ b/shallotgate/consensus/_leadership.py
@@ -107,6 +107,16 @@
             live, key=lambda progress: progress.match_index, reverse=True
         )
 
+    def list_live_identities(self, max_age_s: float) -> frozenset[str]:
+        """Return the own identity and those that replied recently."""
+        oldest_ack = read_lease_clock() - max_age_s
+        live = {
+            identity
+            for identity, progress in self.progress.items()
+            if progress.acked_at >= oldest_ack
+        }
+        return frozenset(live | {self.identity})
+
     def read_member_ack_age_s(self, identity: str) -> float:
         """Return the seconds since a member last acknowledged a message."""
         progress = self.progress.get(identity)
--- a/shallotgate/consensus/_membership.py
+++ b/shallotgate/consensus/_membership.py
@@ -9,6 +9,7 @@
 from shallotgate.consensus._leadership import Leadership
 from shallotgate.consensus._member_state import MemberState
 from shallotgate.consensus._membership_changes import MembershipChanges
+from shallotgate.consensus._membership_policy import choose_removal, make_view
 from shallotgate.errors import ConsensusError
 from shallotgate.generated.messages import MemberIdentity
 from shallotgate.logs import get_logger
@@ -21,10 +22,6 @@
 # Timeout of the replacement of a member with a wiped disk; the next check
 # retries it.
 _REPLACE_TIMEOUT_S = 2.0
-# A group with this many voters or fewer is not shrunk automatically. If one of
-# two voters lost its disk, the other could never commit anything again, even if
-# the member that was removed came back.
-_MIN_VOTERS = 3
 
 
 def make_membership_changes(
@@ -44,10 +41,10 @@
     """Adds, replaces and removes members while this member leads.
 
     An instance that requests to join is added as a non-voting member and
-    becomes a voter once it has caught up. If a member is unresponsive, it is
-    removed in favour of the new one. A member whose disk was wiped returns
-    with another identity and is replaced. Each step commits one record, and
-    majorities before and after it overlap.
+    becomes a voter once it has caught up. Unresponsive members are removed as
+    long as the group tolerates as many lost disks as before. A member whose
+    disk was wiped returns with another identity and is replaced. Each step
+    commits one record, and majorities before and after it overlap.
     """
 
     def __init__(self, state: MemberState, changes: MembershipChanges) -> None:
@@ -84,19 +81,26 @@
             group = self._state.journal.group
             wiped = self._find_wiped(leadership, group)
             joining = self._find_joining(leadership, group)
-            unresponsive = self._find_least_responsive(leadership, group)
+            view = make_view(
+                leadership,
+                group,
+                self._state.instance,
+                self._state.options,
+                has_newcomer=joining is not None,
+            )
+        removed = choose_removal(view, self._state.options)
         if wiped is not None:
             self._changes.replace_member(wiped.instance, _REPLACE_TIMEOUT_S)
-        elif unresponsive is not None and self._should_remove(
-            leadership,
-            group,
-            unresponsive,
-            joining,
-        ):
-            self._changes.remove_member(leadership, unresponsive.instance)
+        elif removed is not None:
+            self._changes.remove_member(leadership, removed.instance)
             _LOGGER.warning(
                 'Unresponsive member removed.',
-                extra={'member': unresponsive.instance, 'newcomer': joining},
+                extra={
+                    'member': removed.instance,
+                    'newcomer': joining,
+                    'voters': len(group.voters),
+                    'min_voters': group.min_voters,
+                },
             )
         elif joining is not None:
             self._changes.add_learner(leadership, joining)
@@ -134,42 +138,3 @@
             if requested_at > oldest_valid and group.find(instance) is None:
                 return instance
         return None
-
-    def _find_least_responsive(
-        self,
-        leadership: Leadership,
-        group: Group,
-    ) -> MemberIdentity | None:
-        """Return the member whose last reply is oldest."""
-        others = [
-            member
-            for member in group.members
-            if member.instance != self._state.instance
-        ]
-        return max(
-            others,
-            key=lambda member: leadership.read_member_ack_age_s(
-                member.identity
-            ),
-            default=None,
-        )
-
-    def _should_remove(
-        self,
-        leadership: Leadership,
-        group: Group,
-        unresponsive: MemberIdentity,
-        joining: str | None,
-    ) -> bool:
-        """Return whether to remove an unresponsive member from the group."""
-        options = self._state.options
-        ack_age_s = leadership.read_member_ack_age_s(unresponsive.identity)
-        if ack_age_s < options.replace_unresponsive_s:
-            return False
-        can_shrink = len(group.voters) > _MIN_VOTERS or not unresponsive.voter
-        if joining is not None and can_shrink:
-            return True
-        if ack_age_s < options.remove_unresponsive_s:
-            return False
-        is_even = len(group.voters) % 2 == 0 and len(group.voters) > _MIN_VOTERS
-        return is_even or not unresponsive.voter
--- a/shallotgate/consensus/_membership_changes.py
+++ b/shallotgate/consensus/_membership_changes.py
@@ -11,6 +11,7 @@
 from shallotgate.consensus._leader import Leader
 from shallotgate.consensus._leadership import Leadership, Progress, Proposal
 from shallotgate.consensus._member_state import MemberState
+from shallotgate.consensus._membership_policy import make_view, may_promote
 from shallotgate.errors import (
     ConsensusError,
     NotLeaderError,
@@ -157,9 +158,22 @@
             )
 
     def _find_unfinished_replacement(self) -> MemberIdentity | None:
-        with self._state.changed:
-            members = self._state.journal.group.members
-        return next((member for member in members if not member.voter), None)
+        state = self._state
+        with state.changed:
+            leadership = state.leadership
+            if leadership is None:
+                return None
+            view = make_view(
+                leadership, state.journal.group, state.instance, state.options
+            )
+        return next(
+            (
+                member
+                for member in view.group.members
+                if not member.voter and may_promote(view, member)
+            ),
+            None,
+        )
 
     def _try_finish_replacement(
         self,
--- a/shallotgate/consensus/_replicator.py
+++ b/shallotgate/consensus/_replicator.py
@@ -2,7 +2,7 @@
 
 import time
 
-from shallotgate.consensus._group import decode_group
+from shallotgate.consensus._group import decode_group, make_member_list
 from shallotgate.consensus._leadership import Leadership
 from shallotgate.consensus._member_state import MemberState
 from shallotgate.errors import TransportError
@@ -11,7 +11,6 @@
     AppendReply,
     InstallSnapshot,
     LogRecord,
-    MemberList,
 )
 from shallotgate.logs import get_logger
 from shallotgate.storage import Snapshot
@@ -126,9 +125,7 @@
             identity=self._leadership.identity,
             index=snapshot.index,
             last_term=snapshot.term,
-            members=MemberList(
-                members=list(decode_group(snapshot.members).members),
-            ),
+            members=make_member_list(decode_group(snapshot.members)),
             offset=offset,
             part=snapshot.state[offset:end],
             done=end > len(snapshot.state),
--- a/shallotgate/consensus/tests/cluster.py
+++ b/shallotgate/consensus/tests/cluster.py
@@ -102,7 +102,7 @@
         self.log.start()
 
     def stop(self) -> None:
-        self.mailbox.dropped_links = {(self.name, peer) for peer in 'abcde'}
+        self.mailbox.dropped_links = {(self.name, peer) for peer in 'abcdef'}
         self.timers.stop()
         self.log.stop()
         self.mailbox.stop()
--- a/shallotgate/consensus/tests/test_membership.py
+++ b/shallotgate/consensus/tests/test_membership.py
@@ -150,3 +150,37 @@
     slept_until = time.clock_gettime(time.CLOCK_BOOTTIME) + 5
     monkeypatch.setattr(module, lambda: slept_until)
     assert not leader.log.is_leading()
+
+
+def test_members_lost_in_turn_and_back_leave_the_group_its_tolerance(
+    make_cluster,
+):
+    """Guards against a group of six that shrinks and loses to two disks.
+
+    One member is down, two others fail before it is back. What is acknowledged
+    then has to be readable after the loss of two disks, with all others back.
+    """
+    cluster = make_cluster('abcdef', OPTIONS)
+    cluster.founders = 'abc'
+    cluster.start(*'abc')
+    cluster.wait_leader()
+    cluster.start(*'def', bootstrap=False)
+    wait_voters(cluster, 'abcdef')
+    leader = cluster.wait_leader()
+    first, second, third, fourth, fifth = sorted(set('abcdef') - {leader.name})
+    cluster.stop(first)
+    wait_voters(cluster, ''.join(sorted(set('abcdef') - {first})))
+    cluster.stop(second, third)
+    cluster.start(first, bootstrap=False)
+    # Longer than it takes to admit the first and to remove one that is down.
+    time.sleep(OPTIONS.remove_unresponsive_s + 4)
+    cluster.propose(b'acknowledged')
+    leader = cluster.wait_leader()
+    lost = (leader.name, fourth if fourth != leader.name else fifth)
+    cluster.stop(*cluster.nodes)
+    for name in lost:
+        cluster.wipe(name)
+    cluster.start(bootstrap=False)
+    second_leader = cluster.wait_leader(20)
+    second_leader.log.read_barrier(5)
+    assert second_leader.machine.items == [b'acknowledged']
--- /dev/null
+++ b/shallotgate/consensus/tests/test_membership_policy.py
@@ -0,0 +1,95 @@
+"""Tests of the decisions on voters."""
+
+import pytest
+
+from shallotgate.consensus import ConsensusOptions
+from shallotgate.consensus._group import Group, decode_group, encode_group
+from shallotgate.consensus._membership_policy import (
+    GroupView,
+    choose_removal,
+    may_promote,
+)
+from shallotgate.generated.messages import MemberIdentity
+
+OPTIONS = ConsensusOptions()
+
+
+def make_group(voters, learners=''):
+    members = [
+        MemberIdentity(instance=name, identity=name, voter=name in voters)
+        for name in voters + learners
+    ]
+    return Group(tuple(members))
+
+
+def make_view(group, silent, *, has_newcomer=True):
+    """Return the view of leader a; members of ``silent`` do not respond."""
+    names = {member.identity for member in group.members}
+    return GroupView(
+        group=group,
+        leader='a',
+        ack_ages_s={name: 9.0 if name in silent else 0.0 for name in names},
+        has_newcomer=has_newcomer,
+        live=frozenset(names - set(silent)),
+    )
+
+
+def find_removed(group, silent, *, has_newcomer=True):
+    view = make_view(group, silent, has_newcomer=has_newcomer)
+    removed = choose_removal(view, OPTIONS)
+    return removed and removed.instance
+
+
+@pytest.mark.parametrize('size', [3, 5, 7])
+def test_group_of_odd_size_keeps_silent_voters(size):
+    """Guards against a group that tolerates fewer lost disks than before.
+
+    A newcomer asks to join and has no vote yet.
+    """
+    group = make_group('abcdefg'[:size])
+    assert find_removed(group, group.members[-1].identity) is None
+
+
+@pytest.mark.parametrize('has_newcomer', [True, False])
+def test_group_of_even_size_removes_one_silent_voter(has_newcomer):
+    """Guards against a majority that takes more members than it has to."""
+    group = make_group('abcdef')
+    assert find_removed(group, 'f', has_newcomer=has_newcomer) == 'f'
+    rest = group.without('f')
+    assert find_removed(rest, 'e', has_newcomer=has_newcomer) is None
+
+
+def test_silent_voter_stays_while_another_disk_is_replaced():
+    """Guards against a voter that is removed beside a replaced one.
+
+    The group is of even size while the replaced member has no vote.
+    """
+    group = make_group('abcde').with_member('d', 'new', voter=False)
+    assert len(group.voters) == 4
+    assert find_removed(group, 'e') is None
+
+
+def test_silent_learner_is_removed_from_a_group_that_keeps_its_voters():
+    """Guards against a lost learner that no other one can take over from."""
+    group = make_group('abc', learners='d')
+    assert find_removed(group, 'cd') == 'd'
+
+
+def test_former_size_is_kept_in_the_records():
+    """Guards against a new leader that takes a smaller group for the whole."""
+    group = make_group('abcde').with_member('d', 'new', voter=False)
+    stored = decode_group(encode_group(group.without('e')))
+    assert (stored.tolerance, stored.min_voters) == (2, 5)
+
+
+def test_second_successor_waits_until_a_lost_voter_is_removed():
+    """Guards against a lost voter that raises the tolerance for good.
+
+    Two members are lost. With the votes of both successors, seven would count
+    as the size of the group, so that the lost ones could not be removed.
+    """
+    group = make_group('abcdef', learners='g')
+    learner = group.find('g')
+    assert not may_promote(make_view(group, 'e'), learner)
+    assert may_promote(make_view(group.without('e'), ''), learner)
+    assert may_promote(make_view(group, ''), learner)
