Let a member vote that doesn't know of its vote yet

What callers would see: no leader after the loss of one disk of three, right after a disk was replaced.

Cause: a member refused its vote unless its own log gave it one. The record that gives the vote is committed by the leader and others; the member gets it last. If the leader's disk is lost then, the others need its vote, and it can't learn of it without a leader.

Change: each identity that is a member, with or without a vote, answers candidates. The candidate counts votes by the group in its own log, as Raft has it, so that one too many counts for nothing. A member with a wiped disk has a new identity, is no member and still refuses.

Evidence: without this change the model loses its leader after four events ("empty c", "replace c", "promote c", loss of a) with three, four, five and six voters, and the new test of processes' logs fails (the vote is refused).

--- a/shallotgate/consensus/_group.py
+++ b/shallotgate/consensus/_group.py
@@ -75,6 +75,10 @@
                 return member
         return None
 
+    def includes(self, identity: str) -> bool:
+        """Return whether an identity is a member, with or without a vote."""
+        return any(member.identity == identity for member in self.members)
+
     def has_majority(self, identities: set[str]) -> bool:
         """Return whether the identities include a majority of the voters."""
         voters = self.voters
--- a/shallotgate/consensus/_voter.py
+++ b/shallotgate/consensus/_voter.py
@@ -31,7 +31,7 @@
         state = self._state
         granted = (
             message.term > state.term
-            and state.is_voter
+            and self._may_vote()
             and not self._has_recent_leader()
             and self._is_log_up_to_date(message)
         )
@@ -53,6 +53,14 @@
         )
         send_or_drop(state.mailbox, delivery.sender, reply)
 
+    def _may_vote(self) -> bool:
+        """Return whether this member may grant a vote to a candidate.
+
+        The candidate counts votes by the group in its own log. That may hold a
+        record which gives this member a vote and has not arrived here.
+        """
+        return self._state.journal.group.includes(self._state.identity)
+
     def _has_recent_leader(self) -> bool:
         """Return whether a leader may hold a lease that this member backs."""
         state = self._state
@@ -70,7 +78,7 @@
 
     def _decide_vote(self, message: Vote) -> bool:
         state = self._state
-        if message.term < state.term or not state.is_voter:
+        if message.term < state.term or not self._may_vote():
             return False
         if not message.transfer and self._has_recent_leader():
             # The lease of the leader relies on this refusal.
--- a/shallotgate/consensus/tests/test_membership_policy.py
+++ b/shallotgate/consensus/tests/test_membership_policy.py
@@ -9,6 +9,7 @@
     choose_removal,
     may_promote,
 )
+from shallotgate.consensus.tests.membership_model import explore
 from shallotgate.generated.messages import MemberIdentity
 
 OPTIONS = ConsensusOptions()
@@ -93,3 +94,18 @@
     assert not may_promote(make_view(group, 'e'), learner)
     assert may_promote(make_view(group.without('e'), ''), learner)
     assert may_promote(make_view(group, ''), learner)
+
+
+@pytest.mark.parametrize(
+    ('voters', 'depth'), [(3, 8), (4, 7), (5, 6), (6, 6), (7, 5)]
+)
+def test_no_order_of_losses_and_changes_loses_what_was_committed(voters, depth):
+    """Guards against members that can't elect a leader with all records.
+
+    Members go down, come back, lose their disks or are replaced in any order,
+    between the steps of the leader and before any of its records has arrived.
+    At each point, further disks up to the tolerated number are lost.
+    """
+    events, states = explore(voters, depth)
+    assert events is None
+    assert states > 1000
--- a/shallotgate/consensus/tests/test_replacement.py
+++ b/shallotgate/consensus/tests/test_replacement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from shallotgate.consensus.tests.cluster import wait_for
+from shallotgate.consensus.tests.cluster import ask_vote, wait_for
 from shallotgate.errors import ConsensusError
 
 
@@ -121,3 +121,27 @@
     assert (member.identity, member.voter) == (first, False)
     leader.log.replace_member(wiped, 10)
     assert is_admitted(cluster, leader, wiped)
+
+
+def test_member_votes_before_it_knows_that_it_has_a_vote(cluster):
+    """Guards against a group without a leader after a lost disk.
+
+    The record that restores the vote of a replaced member is committed without
+    it. If the leader is lost then, its vote may be needed for a majority.
+    """
+    wiped, leader = wipe_follower(cluster)
+    interrupt_after_first_record(leader, lambda: None)
+    with pytest.raises(LeaderLostError):
+        leader.log.replace_member(wiped, 10)
+    node = cluster.nodes[wiped]
+    wait_for(lambda: read_member(node, wiped) is not None)
+    assert node.log.status().role == 'learner'
+    idle = next(
+        name for name in cluster.nodes if name not in {wiped, leader.name}
+    )
+    cluster.stop(idle)
+    probe = cluster.open_probe(idle)
+    try:
+        assert ask_vote(probe, wiped, last=(10**6, 98))
+    finally:
+        probe.stop()
