Accept nothing before a new group tolerates the losses that are stated

What callers would see where the loss of two disks is to be borne: a first table that was acknowledged within the first seconds of a system is gone after two disks are lost.

Cause: a group is bootstrapped by the three seeds; others get their votes within seconds. What is accepted before is on two of three disks. The group can't know by itself how many it is meant to have.

Change: the setting `tolerated_losses` states it, from the platform's field where it has one, null elsewhere.

Evidence: the new test fails without the wait ("DID NOT RAISE"); with it a command is refused by three voters and accepted by five.

--- a/shallotgate/consensus/_leader.py
+++ b/shallotgate/consensus/_leader.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from functools import partial
 
 from shallotgate.consensus._leadership import Leadership, Proposal
 from shallotgate.consensus._member_state import MemberState
@@ -75,6 +76,9 @@
         With ``expected``, raises ``NotLeaderError`` unless that leadership is
         still the current one.
         """
+        deadline = time.monotonic() + timeout_s
+        if proposal.kind == 'command':
+            self._await_tolerance(deadline)
         with self._state.changed:
             leadership = self.require_leadership()
             if expected not in {None, leadership}:
@@ -85,7 +89,7 @@
             # Proposals that arrive during a sync are batched into the next.
             self._state.worker.post(self._flush)
         try:
-            return proposal.future.result(max(timeout_s, 0))
+            return proposal.future.result(max(deadline - time.monotonic(), 0))
         except TimeoutError as error:
             if proposal.future.done():
                 raise
@@ -150,6 +154,48 @@
                 raise NotLeaderError(None)
             return state.applied_index
 
+    def _await_tolerance(self, deadline: float) -> None:
+        """Wait until the group tolerates the losses that it has to.
+
+        A group that has just been bootstrapped consists of the seeds only. What
+        they accepted would be lost with the disks of most of them. Raises
+        ``NotLeaderError`` if the group is too small at the deadline.
+        """
+        state = self._state
+        with state.changed:
+            leadership = self.require_leadership()
+        if self._tolerates_losses(leadership):
+            return
+        grown_at = (
+            time.monotonic()
+            + state.options.growth_timeout_s
+            - leadership.read_age_s()
+        )
+        is_grown = state.wait_until(
+            partial(self._tolerates_losses, leadership),
+            min(deadline, grown_at),
+        )
+        if is_grown:
+            return
+        if leadership.read_age_s() < state.options.growth_timeout_s:
+            raise NotLeaderError(None)
+        _LOGGER.warning(
+            'Command accepted by a group that is too small for the losses '
+            'it has to tolerate.',
+            extra={
+                'voters': len(state.journal.group.voters),
+                'tolerated_losses': state.options.tolerated_losses,
+            },
+        )
+
+    def _tolerates_losses(self, leadership: Leadership) -> bool:
+        """Return whether to wait no longer; requires no lock."""
+        group = self._state.journal.group
+        return (
+            leadership.is_closed
+            or group.tolerance >= self._state.options.tolerated_losses
+        )
+
     def _make_thread(
         self,
         leadership: Leadership,
--- a/shallotgate/consensus/_leadership.py
+++ b/shallotgate/consensus/_leadership.py
@@ -87,6 +87,10 @@
         match_indexes[self.identity] = synced_index
         return int(max(group.quorum_value(match_indexes), 0))
 
+    def read_age_s(self) -> float:
+        """Return the seconds since this leadership began."""
+        return read_lease_clock() - self._started_at
+
     def take_pending(self) -> list[Proposal]:
         """Return and clear the pending proposals."""
         pending = self.pending
--- a/shallotgate/consensus/_options.py
+++ b/shallotgate/consensus/_options.py
@@ -58,5 +58,12 @@
     # was detected, the member has to be removed within 4 s, when the next
     # member may fail.
     remove_unresponsive_s: float = 2.0
+    # Disks that may be lost at the same time, as the deployment states; 0 if it
+    # does not.
+    tolerated_losses: int = 0
+    # Time for which a new leader waits for the group to grow until it tolerates
+    # these losses, before it accepts commands all the same: a deployment may
+    # have fewer members than it needs.
+    growth_timeout_s: float = 5.0
     # Validity of a join request.
     join_request_ttl_s: float = 2.0
--- a/shallotgate/consensus/tests/test_membership.py
+++ b/shallotgate/consensus/tests/test_membership.py
@@ -1,12 +1,13 @@
 """Tests of automatic membership changes."""
 
 import time
+from dataclasses import replace
 
 import pytest
 
 from shallotgate.consensus import ConsensusOptions
 from shallotgate.consensus.tests.cluster import wait_for
-from shallotgate.errors import ConsensusError
+from shallotgate.errors import ConsensusError, NotLeaderError
 
 OPTIONS = ConsensusOptions(
     automatic_membership=True, snapshot_interval_records=20
@@ -184,3 +185,30 @@
     second_leader = cluster.wait_leader(20)
     second_leader.log.read_barrier(5)
     assert second_leader.machine.items == [b'acknowledged']
+
+
+def test_nothing_is_accepted_before_the_group_tolerates_the_stated_losses(
+    make_cluster,
+):
+    """Guards against a first table that two lost disks of five take along.
+
+    The group begins with its three seeds.
+    """
+    options = replace(OPTIONS, tolerated_losses=2, growth_timeout_s=30)
+    cluster = make_cluster('abcde', options)
+    cluster.founders = 'abc'
+    cluster.start(*'abc')
+    cluster.wait_leader()
+    with pytest.raises(NotLeaderError):
+        cluster.propose(b'early', 1)
+    cluster.start(*'de', bootstrap=False)
+    assert cluster.propose(b'later', 20) == 1
+    assert list_voters(cluster) == 'abcde'
+
+
+def test_group_that_does_not_grow_accepts_commands_later(make_cluster):
+    """Guards against a deployment with too few members that never serves."""
+    options = replace(OPTIONS, tolerated_losses=2, growth_timeout_s=1)
+    cluster = make_cluster('abc', options)
+    cluster.start()
+    assert cluster.propose(b'only', 5) == 1
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
@@ -103,7 +104,10 @@
                 for seed in list_seeds(settings)
             ],
             bootstrap=settings.bootstrap,
-            options=_CONSENSUS_OPTIONS,
+            options=replace(
+                _CONSENSUS_OPTIONS,
+                tolerated_losses=settings.tolerated_losses or 0,
+            ),
         )
         self._listing = ListingPoller(
             make_listing,
--- a/shallotgate/node/_settings.py
+++ b/shallotgate/node/_settings.py
@@ -14,6 +14,7 @@
 # Smallest accepted values, as stated in the schema.
 _MINIMUMS: Mapping[str, int] = MappingProxyType(
     {
+        'tolerated_losses': 0,
         'max_reply_bytes': 1,
         'max_reply_head_bytes': 1024,
         'max_buffered_reply_bytes': 1,
@@ -41,13 +42,18 @@
     findings = [
         Finding(str(path), key, f'must be at least {minimum}')
         for key, minimum in _MINIMUMS.items()
-        if getattr(settings, key) < minimum
+        if _is_below(getattr(settings, key), minimum)
     ]
     if findings:
         raise SettingsError(findings)
     return settings
 
 
+def _is_below(value: int | None, minimum: int) -> bool:
+    """Return whether a value is stated and too small."""
+    return value is not None and value < minimum
+
+
 def list_seeds(settings: NodeSettings) -> Sequence[str]:
     """Return the peer addresses of the seeds.
 
