Keep refusals of contents that crash targets over restarts of all processes

Cause: crashes, refusals and spent trials were in the memory of the leader and of the entries only. A new leader learned of them when an entry asked for a trial, an entry when the leader knew. When all had been restarted, nobody knew. Related paths with the same cause: a trial was granted before anybody else knew of it; a report that no leader got was lost, so that the crashes before the third counted anew; a refusal that was not delivered was not repeated; a trial that was granted too late for its request was spent for nothing.

Change: - The leader stores, by digest, the targets that crashed, the counts and whether the content is refused, in the log of the control group. A new leader begins with that; the time of a refusal begins anew with it. Content of callers is not stored. At most 512 contents are kept; what has spent most trials stays longest. Changes go in batches. - A trial is committed before it is granted, so that a leader that is killed, frozen or replaced grants none that the next doesn't count. - An entry sends a report until the leader confirms that it is stored, for 30 s at most; a report that comes twice counts once. - Refusals go to the entries with the answers to their polls, too, and to an entry that starts in the same answer as its first table. - A trial that is granted late goes to the next request with the content.

A refusal still takes effect before it is stored, as each request that comes meanwhile may crash further targets.

--- a/shallotgate/gateway/_blocklist.py
+++ b/shallotgate/gateway/_blocklist.py
@@ -1,6 +1,7 @@
 """Refusal of request contents that crash targets."""
 
 import asyncio
+import secrets
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -11,8 +12,10 @@
 from shallotgate.generated.messages import (
     AskContentTrial,
     BarContent,
+    ContentsUpdate,
     ContentSurvived,
     ContentTrial,
+    CrashRecorded,
     CrashReport,
 )
 from shallotgate.logs import get_logger
@@ -31,6 +34,14 @@
 # Time to wait for the leader's answer whether a request may try a content. It
 # answers within milliseconds.
 _TRIAL_TIMEOUT_S = 0.3
+# Interval between two sends of a report that is not confirmed, and time after
+# which it is given up: longer than a roll of the control members takes.
+_RESEND_S = 0.5
+_REPORT_TIMEOUT_S = 30.0
+# Reports that wait for a confirmation; further ones are sent once.
+_MAX_UNCONFIRMED = 256
+# Bytes of the random id of a report.
+_REPORT_ID_BYTES = 8
 # Time after which a caller may come again whose content is refused for lack of
 # an answer.
 _UNANSWERED_S = 1.0
@@ -60,6 +71,15 @@
     trials: int
     # Answer of the leader that is awaited.
     answer: 'asyncio.Future[bool] | None' = None
+    # Monotonic time until which a trial that was granted too late for the
+    # request that asked may be used by another one.
+    granted_until: float = float('-inf')
+
+    def take_grant(self) -> bool:
+        """Use up a trial that was granted too late; return if there is one."""
+        is_granted = time.monotonic() < self.granted_until
+        self.granted_until = float('-inf')
+        return is_granted
 
     def set(self, hold_ms: int, trials: int) -> None:
         """Refuse it for a time from now on."""
@@ -83,6 +103,10 @@
         # the leader lets a request try it and a target answers.
         self._bars: dict[str, _Bar] = {}
         self._probes: set[asyncio.Task[None]] = set()
+        # By id of a report; set once the leader has confirmed it.
+        self._unconfirmed: dict[str, asyncio.Event] = {}
+        # Revision of the refusals that a leader has told.
+        self.revision = -1
 
     async def admit(self, content: RequestContent) -> Admission:
         """Return whether a request with a content may be sent to targets."""
@@ -92,6 +116,8 @@
         content_bar = self._bars.get(digest)
         if content_bar is None:
             return _ADMITTED
+        if content_bar.take_grant():
+            return Admission(is_trial=True)
         if not self._is_due(content_bar):
             return Admission(self._get_refused_s(content_bar))
         if await self._request_trial(digest, content_bar):
@@ -107,8 +133,7 @@
                 )
             return
         self._evict()
-        content_bar = self._bars.setdefault(message.digest, _Bar(0, 0))
-        content_bar.set(message.hold_ms, message.trials)
+        self._set(message)
         _LOGGER.warning(
             'Content refused: targets crashed of it.',
             extra={
@@ -118,6 +143,31 @@
             },
         )
 
+    def apply(self, update: ContentsUpdate | None) -> None:
+        """Refuse all contents that the leader refuses.
+
+        Others stay: the leader decides on them when they come again.
+        """
+        if update is None:
+            return
+        for message in update.contents:
+            self._set(message)
+        self.revision = update.revision
+        if update.contents:
+            _LOGGER.info(
+                'Refused contents were told by the leader.',
+                extra={
+                    'contents': len(update.contents),
+                    'revision': update.revision,
+                },
+            )
+
+    def confirm_report(self, message: CrashRecorded) -> None:
+        """Send a report no more: the leader has stored it."""
+        confirmed = self._unconfirmed.get(message.report)
+        if confirmed is not None:
+            confirmed.set()
+
     def handle_answer(self, message: ContentTrial) -> None:
         """Take the leader's answer to a question for a trial."""
         content_bar = self._bars.get(message.digest)
@@ -127,6 +177,9 @@
         answer = content_bar.answer
         if answer is not None and not answer.done():
             answer.set_result(message.granted)
+        elif message.granted:
+            # It counts, so the next request may use it.
+            content_bar.granted_until = content_bar.until
 
     def conclude_trial(
         self, content: RequestContent, evidence: CrashEvidence
@@ -167,6 +220,10 @@
         finally:
             content_bar.answer = None
 
+    def _set(self, message: BarContent) -> None:
+        content_bar = self._bars.setdefault(message.digest, _Bar(0, 0))
+        content_bar.set(message.hold_ms, message.trials)
+
     def _is_due(self, content_bar: _Bar) -> bool:
         """Whether the leader is to be asked; one request does so at a time."""
         return (
@@ -197,7 +254,39 @@
                 'Request lost targets that are down now.',
                 extra={'digest': digest, 'targets': crashed},
             )
-            self._send(CrashReport(digest=digest, targets=crashed))
+            await self._send_report(digest, crashed)
+
+    async def _send_report(self, digest: str, targets: Sequence[str]) -> None:
+        """Send a report until a leader has stored it.
+
+        Without it, the next leader would count the crashes of the content anew.
+        """
+        report = CrashReport(
+            digest=digest,
+            targets=targets,
+            report=secrets.token_hex(_REPORT_ID_BYTES),
+        )
+        if len(self._unconfirmed) >= _MAX_UNCONFIRMED:
+            self._send(report)
+            return
+        confirmed = asyncio.Event()
+        self._unconfirmed[report.report] = confirmed
+        resend = asyncio.ensure_future(self._resend(report))
+        try:
+            async with asyncio.timeout(_REPORT_TIMEOUT_S):
+                await confirmed.wait()
+        except TimeoutError:
+            _LOGGER.warning(
+                'Crash report was not confirmed.', extra={'digest': digest}
+            )
+        finally:
+            resend.cancel()
+            self._unconfirmed.pop(report.report)
+
+    async def _resend(self, report: CrashReport) -> None:
+        while True:  # noqa: WPS457 - ends when it is cancelled
+            self._send(report)
+            await asyncio.sleep(_RESEND_S)
 
 
 async def _is_down(target: Target) -> bool:
--- a/shallotgate/gateway/tests/test_crashes.py
+++ b/shallotgate/gateway/tests/test_crashes.py
@@ -7,9 +7,9 @@
 import itertools
 from functools import partial
 
-from shallotgate.generated.messages import BarContent
+from shallotgate.generated.messages import BarContent, CrashRecorded
 from shallotgate.registry import CrashService
-from shallotgate.registry.tests.fakes import FakeLog
+from shallotgate.registry.tests.fakes import FakeLog, FakeStore
 from shallotgate.transport import Delivery
 from testkit.gateway import SimulatedEntry, SimulatedTier
 from testkit.virtual import run_virtual
@@ -111,7 +111,9 @@
         self.handlers = {}
         log = FakeLog()
         log.leads = True
-        self.service = CrashService(self, log, lambda: list(self.entries))
+        self.service = CrashService(
+            self, log, lambda: list(self.entries), FakeStore()
+        )
         for name, entry in self.entries.items():
             entry.tell_leader = partial(self.deliver, name)
 
@@ -126,6 +128,8 @@
         blocklist = self.entries[name].blocklist
         if isinstance(message, BarContent):
             blocklist.add(message)
+        elif isinstance(message, CrashRecorded):
+            blocklist.confirm_report(message)
         else:
             blocklist.handle_answer(message)
 
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -36,6 +36,7 @@
     QuotaService,
     RegistryClient,
     RegistryState,
+    ReplicatedContents,
     RetryGrantService,
     RolloutService,
     TargetListing,
@@ -130,13 +131,15 @@
             listing=self._listing,
             list_members=self._list_members,
             limits=self._limits,
-            on_entry_start=lambda entry: self._crashes.inform_entry(entry),
+            make_contents=lambda known: self._crashes.make_update(known),
             make_versions=self._rollouts.make_update,
         )
+        self._contents = ReplicatedContents(self._log, state)
         self._crashes = CrashService(
             self._mailbox,
             self._log,
             self._followers.list_entries,
+            self._contents,
         )
         self._retry_grants = RetryGrantService(
             self._mailbox,
@@ -178,6 +181,9 @@
         self._metrics.register_gauge(
             'quota_accounts_exceeding', self._quotas.count_exceeding
         )
+        self._metrics.register_gauge(
+            'contents_refused', self._crashes.count_refused
+        )
         self._metrics.register_gauge(
             'rollouts_running', self._rollouts.count_running
         )
@@ -197,6 +203,7 @@
         await asyncio.to_thread(self._log.start)
         self._listing.start()
         self._rollouts.start()
+        self._contents.start()
         self._followers.start()
         await self._server.start()
         if self._metrics_server is not None:
@@ -208,6 +215,7 @@
             await asyncio.to_thread(self._log.transfer_leadership)
         self._listing.stop()
         self._rollouts.stop()
+        self._contents.stop()
         self._client.stop()
         await self._server.stop()
         await asyncio.to_thread(self._log.stop)
--- a/shallotgate/node/_entry.py
+++ b/shallotgate/node/_entry.py
@@ -31,6 +31,7 @@
 from shallotgate.generated.messages import (
     BarContent,
     ContentTrial,
+    CrashRecorded,
     FollowTier,
     GrantExposure,
     GrantExtras,
@@ -139,6 +140,7 @@
         self._mailbox.subscribe(GrantExposure, self._on_exposure)
         self._mailbox.subscribe(BarContent, self._on_bar_content)
         self._mailbox.subscribe(ContentTrial, self._on_content_trial)
+        self._mailbox.subscribe(CrashRecorded, self._on_crash_recorded)
         self._follower = TierFollower(
             mailbox=self._mailbox,
             codec=codec,
@@ -218,6 +220,7 @@
             merges_tables=True,
             paces_revision=self._pacer.revision,
             versions_revision=self._directory.versions.revision,
+            contents_revision=self._blocklist.revision,
         )
 
     def _report_degradation(self) -> None:
@@ -272,6 +275,13 @@
                 delivery.message,
             )
 
+    def _on_crash_recorded(self, delivery: Delivery) -> None:
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(
+                self._blocklist.confirm_report,
+                delivery.message,
+            )
+
     def _apply_in_loop(
         self,
         update: TierUpdate,
@@ -291,6 +301,8 @@
         update: TierUpdate,
         table: RoutingTable | None,
     ) -> None:
+        # Before the table, without which an entry that starts serves nothing.
+        self._blocklist.apply(update.contents)
         # The operator's state comes first: list and conditions depend on what
         # others state, and an error in them must not keep it from taking
         # effect.
--- a/shallotgate/registry/__init__.py
+++ b/shallotgate/registry/__init__.py
@@ -4,6 +4,10 @@
 from shallotgate.registry._client import RegistryClient
 from shallotgate.registry._conditions import ConditionTracker
 from shallotgate.registry._content_bars import CrashService
+from shallotgate.registry._content_store import (
+    ContentStore,
+    ReplicatedContents,
+)
 from shallotgate.registry._crashes import CrashTracker
 from shallotgate.registry._entry_counter import EntryCounter
 from shallotgate.registry._followers import FollowerService
@@ -20,6 +24,7 @@
 
 __all__ = (
     'ConditionTracker',
+    'ContentStore',
     'CrashService',
     'CrashTracker',
     'EntryCounter',
@@ -31,6 +36,7 @@
     'QuotaService',
     'RegistryClient',
     'RegistryState',
+    'ReplicatedContents',
     'RetryGrantService',
     'RolloutOrder',
     'RolloutService',
--- a/shallotgate/registry/_crashes.py
+++ b/shallotgate/registry/_crashes.py
@@ -1,9 +1,12 @@
 """Detects request contents that crash targets; runs on the leader."""
 
 import threading
-from collections.abc import Sequence
+import time
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from shallotgate.generated.messages import StoredContent
+
 # Crashed targets and requests from which on a content is refused. More than one
 # request is required, as the targets of a single one may crash together for
 # another reason.
@@ -19,6 +22,11 @@
 _SETTLE_S = 4.0
 # Crash records expire after this time; targets restart within seconds.
 _RETENTION_S = 600.0
+# Contents that are kept, to bound the replicated state. Few crash targets at a
+# time.
+_MAX_CONTENTS = 512
+# Ids of reports that are kept of a content, to count none twice.
+_MAX_REPORTS = 4
 
 
 @dataclass(frozen=True)
@@ -37,6 +45,10 @@
     targets: set[str] = field(default_factory=set)
     requests: int = 0
     trials: int = 0
+    # Ids of the newest reports.
+    reports: tuple[str, ...] = ()
+    # Unix time of the first refusal in seconds; 0 before.
+    since_s: int = 0
     # Whether a trial was granted since the newest report.
     is_on_trial: bool = False
     # Monotonic times: begin and end of the newest refusal, newest report.
@@ -60,15 +72,25 @@
         hold_s = _FINAL_HOLD_S if is_final else _HOLDS_S[self.trials]
         self.refused_at = now
         self.refused_until = now + hold_s
+        self.since_s = self.since_s or int(time.time())
         return hold_s
 
+    def add_report(self, report: str) -> bool:
+        """Note the id of a report; return whether it is a new one."""
+        if report in self.reports:
+            return False
+        if report:
+            self.reports = (*self.reports, report)[-_MAX_REPORTS:]
+        return True
+
 
 class CrashTracker:
     """Counts crashed targets by content digest and grants trials.
 
     A content that crashed enough targets is refused at all entries. After that
-    one request at a time may try it, three at most. Thread-safe; ``now`` is in
-    monotonic seconds.
+    one request at a time may try it, three at most. A later leader goes on with
+    the counts; the time of a refusal begins anew with it, as the clocks of two
+    processes can't be compared. Thread-safe; ``now`` is in monotonic seconds.
 
     >>> tracker = CrashTracker()
     >>> tracker.record_crash('d', ['t1', 't2'], now=0)
@@ -86,17 +108,70 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._records: dict[str, _CrashRecord] = {}
+        # Contents that were dropped and are still stored.
+        self._dropped: set[str] = set()
+
+    def adopt(self, contents: Iterable[StoredContent], now: float) -> None:
+        """Go on with what a former leader has stored."""
+        records = {
+            content.digest: _CrashRecord(
+                targets=set(content.targets),
+                requests=content.requests,
+                trials=content.trials,
+                reports=tuple(content.reports),
+                since_s=content.since_s,
+                reported_at=now,
+            )
+            for content in contents
+        }
+        for content in contents:
+            if content.refused:
+                records[content.digest].refuse(now)
+        with self._lock:
+            self._records = records
+            self._dropped.clear()
+
+    def make_stored(self, digest: str) -> StoredContent | None:
+        """Return what to store of a content; None to forget it."""
+        with self._lock:
+            record = self._records.get(digest)
+            if record is None:
+                return None
+            return StoredContent(
+                digest=digest,
+                # A refusal needs no more of them, and no later one either.
+                targets=sorted(record.targets)[:_MIN_TARGETS],
+                requests=record.requests,
+                trials=record.trials,
+                refused=record.is_refused,
+                since_s=record.since_s,
+                reports=record.reports,
+            )
+
+    def take_dropped(self) -> set[str]:
+        """Return the contents dropped since the last call."""
+        with self._lock:
+            dropped = self._dropped
+            self._dropped = set()
+            return dropped - self._records.keys()
 
     def record_crash(
-        self, digest: str, targets: Sequence[str], now: float
+        self,
+        digest: str,
+        targets: Sequence[str],
+        now: float,
+        report: str = '',
     ) -> float:
         """Record a crash report; return how long to refuse the content.
 
-        In seconds, 0 to accept it; ``now`` is in monotonic seconds.
+        In seconds, 0 to accept it; ``now`` is in monotonic seconds. A report
+        with the same id counts once.
         """
         with self._lock:
             self._evict(now)
             record = self._records.setdefault(digest, _CrashRecord())
+            if not record.add_report(report):
+                return max(record.refused_until - now, 0)
             record.targets.update(targets)
             record.requests += 1
             record.reported_at = now
@@ -138,13 +213,15 @@
         with self._lock:
             return self._records.pop(digest, None) is not None
 
-    def list_bars(self, now: float, since: float) -> list[ContentBar]:
-        """Return the refusals that began at a time or later."""
+    def list_bars(self, now: float) -> list[ContentBar]:
+        """Return all refusals, also those that a trial may end."""
         with self._lock:
             return [
-                ContentBar(digest, record.refused_until - now, record.trials)
+                ContentBar(
+                    digest, max(record.refused_until - now, 0), record.trials
+                )
                 for digest, record in self._records.items()
-                if record.is_refused and record.refused_at >= since
+                if record.is_refused
             ]
 
     def get_bar(self, digest: str, now: float) -> ContentBar:
@@ -156,6 +233,22 @@
             )
 
     def _evict(self, now: float) -> None:
-        for digest, record in list(self._records.items()):
-            if now - record.reported_at > record.retention_s:
-                self._records.pop(digest)
+        """Drop what has expired, and what there is no room for."""
+        expired = [
+            digest
+            for digest, record in self._records.items()
+            if now - record.reported_at > record.retention_s
+        ]
+        for digest in expired:
+            self._drop(digest)
+        if len(self._records) >= _MAX_CONTENTS:
+            # What is refused and spent most trials is kept longest.
+            self._drop(min(self._records, key=self._rate))
+
+    def _rate(self, digest: str) -> tuple[bool, int, float]:
+        record = self._records[digest]
+        return record.is_refused, record.trials, record.reported_at
+
+    def _drop(self, digest: str) -> None:
+        self._records.pop(digest)
+        self._dropped.add(digest)
--- a/shallotgate/registry/_followers.py
+++ b/shallotgate/registry/_followers.py
@@ -8,6 +8,7 @@
 
 from shallotgate.consensus import ReplicatedLog
 from shallotgate.generated.messages import (
+    ContentsUpdate,
     DomainsUpdate,
     FollowTier,
     ObservedReplies,
@@ -42,6 +43,8 @@
 
 # Returns the rules for versions, given the revision that an entry has.
 VersionsSource = Callable[[int], VersionsUpdate | None]
+# Returns the refused contents, given the revision that an entry has.
+ContentsSource = Callable[[int], ContentsUpdate | None]
 
 
 @dataclass
@@ -64,16 +67,16 @@
         listing: ListingPoller,
         list_members: Callable[[], list[str]],
         limits: LimitBoard,
-        on_entry_start: Callable[[str], None] | None = None,
+        make_contents: ContentsSource | None = None,
         make_versions: VersionsSource | None = None,
     ) -> None:
         """Subscribe to the mailbox, which must not have started.
 
-        ``on_entry_start`` is called for an entry that has no table yet.
-        ``make_versions`` returns rules for versions that an entry lacks.
+        ``make_contents`` returns refusals of contents, ``make_versions`` rules
+        for versions that an entry lacks.
         """
         self._make_versions = make_versions
-        self._on_entry_start = on_entry_start
+        self._make_contents = make_contents
         self._mailbox = mailbox
         self._log = log
         self._state = state
@@ -141,8 +144,6 @@
         with self._changed:
             self._pending[delivery.sender] = _PendingRequest(delivery, now)
             self._changed.notify_all()
-        if self._on_entry_start and delivery.message.table_version < 0:
-            self._on_entry_start(delivery.sender)
         if delivery.message.observed is not None:
             self._record_replies(delivery.message.observed)
 
@@ -275,4 +276,6 @@
             # After the list, whose versions they cover.
             versions=self._make_versions
             and self._make_versions(message.versions_revision),
+            contents=self._make_contents
+            and self._make_contents(message.contents_revision),
         )
--- a/shallotgate/registry/_state.py
+++ b/shallotgate/registry/_state.py
@@ -1,4 +1,4 @@
-"""Replicated state: routing table, domains out of service, rollouts."""
+"""Replicated state: table, domains out of service, rollouts, contents."""
 
 import threading
 from collections.abc import Callable
@@ -11,6 +11,8 @@
     PublishOutcome,
     PublishTable,
     SetDomainOut,
+    StoreContents,
+    StoredContent,
 )
 from shallotgate.logs import get_logger
 from shallotgate.rollouts import (
@@ -24,7 +26,7 @@
 
 
 class Registry(msgspec.Struct, frozen=True):
-    """Active routing table, domains out of service and rollouts."""
+    """Active table, domains out of service, rollouts, refused contents."""
 
     # Version of the table; -1 if there is none.
     version: int = -1
@@ -36,6 +38,9 @@
     domains_out: tuple[str, ...] = ()
     # Absent from snapshots of builds without rollouts.
     rollouts: RolloutRecords = RolloutRecords()
+    # Contents that have crashed targets, by digest. Absent from snapshots of
+    # builds that kept them in memory.
+    contents: dict[str, StoredContent] = msgspec.field(default_factory=dict)
 
 
 class RegistryState:
@@ -64,6 +69,8 @@
             return self._set_domain(index, decoded)
         if isinstance(decoded, ROLLOUT_COMMANDS):
             return self._apply_rollout(index, decoded)
+        if isinstance(decoded, StoreContents):
+            self._store_contents(decoded)
         return None
 
     def snapshot(self) -> bytes:
@@ -135,6 +142,18 @@
             self._replace(msgspec.structs.replace(registry, rollouts=rollouts))
         return outcome
 
+    def _store_contents(self, command: StoreContents) -> None:
+        registry = self.read()
+        contents = {
+            digest: content
+            for digest, content in registry.contents.items()
+            if digest not in command.forgotten
+        }
+        contents.update(
+            {content.digest: content for content in command.contents}
+        )
+        self._replace(msgspec.structs.replace(registry, contents=contents))
+
     def _replace(self, registry: Registry) -> None:
         with self._lock:
             self._registry = registry
--- a/shallotgate/registry/tests/fakes.py
+++ b/shallotgate/registry/tests/fakes.py
@@ -35,3 +35,23 @@
 
     def on_leadership(self, callback):
         self.notify = callback
+
+
+class FakeStore:
+    """Store that all leaders have in common; saves at once."""
+
+    def __init__(self):
+        self.contents = {}
+        self.is_failing = False
+
+    def read(self):
+        return tuple(self.contents.values())
+
+    def save(self, digest, content, on_saved):
+        if self.is_failing:
+            on_saved(False)
+            return
+        self.contents.pop(digest, None)
+        if content is not None:
+            self.contents[digest] = content
+        on_saved(True)
--- a/shallotgate/registry/tests/test_crashes.py
+++ b/shallotgate/registry/tests/test_crashes.py
@@ -1,14 +1,19 @@
 """Detection of request contents that crash targets."""
 
+import time
+
+from shallotgate.codec import encode_tagged
 from shallotgate.generated.messages import (
     AskContentTrial,
     BarContent,
     ContentSurvived,
     ContentTrial,
+    CrashRecorded,
     CrashReport,
+    StoreContents,
 )
 from shallotgate.registry import CrashService, CrashTracker
-from shallotgate.registry.tests.fakes import FakeLog, FakeMailbox
+from shallotgate.registry.tests.fakes import FakeLog, FakeMailbox, FakeStore
 from shallotgate.transport import Delivery
 
 
@@ -58,7 +63,7 @@
 def test_all_entries_are_told_by_a_leader_only():
     """Guards against entries that miss a crash reported by another entry."""
     mailbox, log = FakeMailbox(), FakeLog()
-    CrashService(mailbox, log, lambda: ['e1', 'e2'])
+    CrashService(mailbox, log, lambda: ['e1', 'e2'], FakeStore())
 
     def report(*targets):
         message = CrashReport(digest='d', targets=list(targets))
@@ -75,11 +80,11 @@
     assert mailbox.sent == [('e1', bar), ('e2', bar)]
 
 
-def make_service(*entries, log=None):
+def make_service(*entries, log=None, store=None):
     mailbox = FakeMailbox()
     log = log or FakeLog()
     log.leads = True
-    service = CrashService(mailbox, log, lambda: entries)
+    service = CrashService(mailbox, log, lambda: entries, store or FakeStore())
 
     def deliver(message, sender='e1'):
         mailbox.sent.clear()
@@ -121,23 +126,90 @@
 
 def test_entry_that_starts_is_told_what_is_refused():
     """Guards against an entry that lets a content through after its start."""
-    service, mailbox, deliver = make_service('e1')
+    service, _, deliver = make_service('e1')
     deliver(CrashReport(digest='d', targets=['t1', 't2']))
     deliver(CrashReport(digest='d', targets=['t3']))
-    mailbox.sent.clear()
-    service.inform_entry('e2')
-    ((name, bar),) = mailbox.sent
-    assert (name, bar.digest) == ('e2', 'd')
+    update = service.make_update(-1)
+    (bar,) = update.contents
+    assert bar.digest == 'd'
     assert bar.hold_ms > 14_000
+    assert service.make_update(update.revision) is None
 
 
-def test_refusal_of_a_former_leadership_is_not_told():
+def test_refusal_that_another_leader_has_ended_is_not_told():
     """Guards against refusing what another leader has accepted since."""
-    log = FakeLog()
-    service, mailbox, deliver = make_service('e1', log=log)
+    log, store = FakeLog(), FakeStore()
+    service, _, deliver = make_service('e1', log=log, store=store)
     deliver(CrashReport(digest='d', targets=['t1', 't2']))
     deliver(CrashReport(digest='d', targets=['t3']))
-    mailbox.sent.clear()
+    revision = service.make_update(-1).revision
     log.term = 3
-    service.inform_entry('e2')
-    assert mailbox.sent == []
+    store.contents.clear()
+    update = service.make_update(revision)
+    assert update.contents == []
+
+
+def test_crashes_and_trials_count_after_all_processes_have_ended():
+    """Guards against further retries after a restart of all processes.
+
+    Reports come twice, as their confirmation is lost; each counts once.
+    """
+    store = FakeStore()
+    for number in range(3):
+        _, _, deliver = make_service('e1', store=store)
+        report = CrashReport(
+            digest='d', targets=[f't{number}'], report=f'{number}'
+        )
+        assert deliver(report)[-1] == ('e1', CrashRecorded(report=str(number)))
+        deliver(report)
+    assert store.contents['d'].requests == 3
+    for trials in (1, 2, 3):
+        service, _, deliver = make_service('e1', store=store)
+        # A new leader lets nothing through until its refusal has ended.
+        (bar,) = service.make_update(-1).contents
+        assert (bar.trials, bar.hold_ms > 14_000) == (trials - 1, True)
+        assert not deliver(AskContentTrial(digest='d', trials=0))[-1][1].granted
+        expire(service)
+        assert deliver(AskContentTrial(digest='d', trials=0))[-1][1].granted
+    service, _, deliver = make_service('e1', store=store)
+    expire(service)
+    assert not deliver(AskContentTrial(digest='d', trials=0))[-1][1].granted
+
+
+def expire(service):
+    """End the refusals of a service, as if their time had passed."""
+    for record in service._tracker._records.values():
+        record.refused_until = time.monotonic() - 1
+
+
+def test_trial_that_a_later_leader_would_not_count_is_not_granted():
+    """Guards against a trial that is known to one process only."""
+    store = FakeStore()
+    store.is_failing = True
+    _, _, deliver = make_service('e1', store=store)
+    ((_, answer),) = deliver(AskContentTrial(digest='d', trials=0))
+    assert not answer.granted
+    assert deliver(CrashReport(digest='e', targets=['t1'], report='r')) == []
+
+
+def test_number_of_contents_is_bounded():
+    """Guards against a state that grows with each request that is lost.
+
+    What is refused stays.
+    """
+    store = FakeStore()
+    _, _, deliver = make_service('e1', store=store)
+    for target in ('t1', 't2', 't3'):
+        deliver(CrashReport(digest='refused', targets=[target]))
+    for number in range(1000):
+        deliver(CrashReport(digest=f'd{number}', targets=['t1']))
+    assert len(store.contents) <= 512
+    assert store.contents['refused'].refused
+    assert (
+        len(
+            encode_tagged(
+                StoreContents(contents=list(store.read()), forgotten=[])
+            )
+        )
+        < 100_000
+    )
--- a/testkit/gateway/_simulation.py
+++ b/testkit/gateway/_simulation.py
@@ -20,6 +20,7 @@
     AskExtras,
     AskPermits,
     ContentSurvived,
+    CrashRecorded,
     CrashReport,
     GrantExtras,
     GrantPermits,
@@ -215,6 +216,11 @@
     def _send_content_message(self, message: ContentMessage) -> bool:
         if isinstance(message, CrashReport):
             self.reports.append(message)
+            if self.tell_leader is None:
+                asyncio.get_running_loop().call_soon(
+                    self.blocklist.confirm_report,
+                    CrashRecorded(report=message.report),
+                )
         if self.tell_leader is None:
             return False
         loop = asyncio.get_running_loop()
