Wait for a group that still grows before it accepts commands

What callers would see: a change that was acknowledged in the first seconds of a system in which members fail meanwhile is lost with two disks, although the loss of two is stated.

Cause: a new leader let commands through 5 s after its election, also while members were still joining.

Change: the 5 s begin anew with each change of the members.

--- a/shallotgate/consensus/_leader.py
+++ b/shallotgate/consensus/_leader.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from functools import partial
 
 from shallotgate.consensus._leadership import Leadership, Proposal
 from shallotgate.consensus._member_state import MemberState
@@ -166,27 +165,32 @@
             leadership = self.require_leadership()
         if self._tolerates_losses(leadership):
             return
-        grown_at = (
-            time.monotonic()
-            + state.options.growth_timeout_s
-            - leadership.read_age_s()
-        )
         is_grown = state.wait_until(
-            partial(self._tolerates_losses, leadership),
-            min(deadline, grown_at),
+            lambda: (
+                self._tolerates_losses(leadership)
+                or self._has_settled(leadership)
+            ),
+            deadline,
         )
-        if is_grown:
-            return
-        if leadership.read_age_s() < state.options.growth_timeout_s:
+        if not is_grown:
             raise NotLeaderError(None)
-        _LOGGER.warning(
-            'Command accepted by a group that is too small for the losses '
-            'it has to tolerate.',
-            extra={
-                'voters': len(state.journal.group.voters),
-                'tolerated_losses': state.options.tolerated_losses,
-            },
-        )
+        if not self._tolerates_losses(leadership):
+            _LOGGER.warning(
+                'Command accepted by a group that is too small for the losses '
+                'it has to tolerate.',
+                extra={
+                    'voters': len(state.journal.group.voters),
+                    'tolerated_losses': state.options.tolerated_losses,
+                },
+            )
+
+    def _has_settled(self, leadership: Leadership) -> bool:
+        """Return whether the group has not grown for long; needs ``changed``.
+
+        Each heartbeat that is answered wakes those who wait for it.
+        """
+        group_age_s = leadership.read_group_age_s(self._state.journal.group)
+        return group_age_s > self._state.options.growth_timeout_s
 
     def _tolerates_losses(self, leadership: Leadership) -> bool:
         """Return whether to wait no longer; requires no lock."""
--- a/shallotgate/consensus/_leadership.py
+++ b/shallotgate/consensus/_leadership.py
@@ -52,6 +52,9 @@
         self.threads: list[threading.Thread] = []
         self._lease_s = lease_s
         self._started_at = read_lease_clock()
+        # Group at the last look at its age, and since when it is that.
+        self._known_group: Group | None = None
+        self._group_since = self._started_at
 
     def record_reply(
         self,
@@ -87,9 +90,18 @@
         match_indexes[self.identity] = synced_index
         return int(max(group.quorum_value(match_indexes), 0))
 
-    def read_age_s(self) -> float:
-        """Return the seconds since this leadership began."""
-        return read_lease_clock() - self._started_at
+    def read_group_age_s(self, group: Group) -> float:
+        """Return the seconds for which the group has been as it is.
+
+        A change is noticed with the next call.
+        """
+        now = read_lease_clock()
+        if self._known_group is None:
+            self._known_group = group
+        elif group != self._known_group:
+            self._known_group = group
+            self._group_since = now
+        return now - self._group_since
 
     def take_pending(self) -> list[Proposal]:
         """Return and clear the pending proposals."""
--- a/shallotgate/consensus/_options.py
+++ b/shallotgate/consensus/_options.py
@@ -61,9 +61,9 @@
     # Disks that may be lost at the same time, as the deployment states; 0 if it
     # does not.
     tolerated_losses: int = 0
-    # Time for which a new leader waits for the group to grow until it tolerates
-    # these losses, before it accepts commands all the same: a deployment may
-    # have fewer members than it needs.
+    # Time for which the group has to stay as it is before a leader accepts
+    # commands although it does not tolerate these losses: a deployment may have
+    # fewer members than it needs.
     growth_timeout_s: float = 5.0
     # Validity of a join request.
     join_request_ttl_s: float = 2.0
