Let operators see and end refusals of contents

What operators could not do: see which contents are refused, since when and on which evidence, and accept one again that is refused by mistake. Now that a refusal outlives all processes, a mistake does, too.

The order is a record of the log, so that it is acknowledged once a majority has it; the leader drops what is no longer stored and tells the entries. The answer states whether the content was known.

--- a/shallotgate/registry/_client.py
+++ b/shallotgate/registry/_client.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import zlib
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
@@ -19,6 +20,7 @@
     Propose,
     ProposeReply,
     ReadTable,
+    StoredContent,
     TableReply,
 )
 from shallotgate.logs import get_logger
@@ -103,6 +105,13 @@
         rollout = self._state.read().rollouts.find(service)
         return rollout.order if rollout else 0
 
+    def list_contents(self) -> Sequence[StoredContent]:
+        """Return what is known here of contents that crash targets.
+
+        The leader may know of newer ones.
+        """
+        return tuple(self._state.read().contents.values())
+
     def read_table(self, timeout_s: float) -> CurrentTable:
         """Return the active table; raises ``ConsensusError`` if unconfirmed."""
         deadline = time.monotonic() + timeout_s
--- a/shallotgate/registry/_content_bars.py
+++ b/shallotgate/registry/_content_bars.py
@@ -51,6 +51,8 @@
         self._lock = threading.Lock()
         self._term: int | None = None
         self._changes = 0
+        # Contents that are stored, as far as this leadership knows.
+        self._stored: set[str] = set()
         mailbox.subscribe(CrashReport, self._on_report)
         mailbox.subscribe(AskContentTrial, self._on_ask)
         mailbox.subscribe(ContentSurvived, self._on_survived)
@@ -62,6 +64,7 @@
         """
         if not self._leads():
             return None
+        self._accept_allowed()
         with self._lock:
             revision = ((self._term or 0) << _CHANGE_BITS) + self._changes
         if revision == known_revision:
@@ -156,6 +159,7 @@
             if term != self._term:
                 stored = self._store.read()
                 self._tracker.adopt(stored, time.monotonic())
+                self._stored = {content.digest for content in stored}
                 self._term = term
                 self._changes = 0
                 if stored:
@@ -166,9 +170,39 @@
         return True
 
     def _save(self, digest: str, on_saved: Callable[[bool], None]) -> None:
+        content = self._tracker.make_stored(digest)
         with self._lock:
             self._changes += 1
-        self._store.save(digest, self._tracker.make_stored(digest), on_saved)
+            if content is None:
+                self._stored.discard(digest)
+        self._store.save(
+            digest, content, partial(self._note_saved, digest, on_saved)
+        )
+
+    def _note_saved(
+        self, digest: str, on_saved: Callable[[bool], None], is_saved: bool
+    ) -> None:
+        if is_saved and self._tracker.make_stored(digest) is not None:
+            with self._lock:
+                self._stored.add(digest)
+        on_saved(is_saved)
+
+    def _accept_allowed(self) -> None:
+        """Accept what is no longer stored, because an operator allowed it."""
+        if not self._stored:
+            return
+        stored = {content.digest for content in self._store.read()}
+        with self._lock:
+            allowed = self._stored - stored
+            self._stored -= allowed
+            self._changes += len(allowed)
+        for digest in allowed:
+            self._tracker.record_survival(digest)
+            _LOGGER.info(
+                'Content accepted: an operator allowed it.',
+                extra={'digest': digest},
+            )
+            self._broadcast(BarContent(digest=digest, hold_ms=0))
 
     def _confirm(self, entry: str, report: str, is_saved: bool) -> None:
         if is_saved and report:
--- a/shallotgate/registry/_operators.py
+++ b/shallotgate/registry/_operators.py
@@ -3,18 +3,21 @@
 import asyncio
 import time
 import zlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import asdict, dataclass
 
 from shallotgate.errors import ConsensusError, Finding, FindingsError
 from shallotgate.generated.messages import (
     DomainOutcome,
+    Done,
     PublishTable,
     ReadRollout,
     RolloutStatus,
     SetDomainOut,
     StartRollout,
     StartRolloutOutcome,
+    StoreContents,
+    StoredContent,
 )
 from shallotgate.logs import get_logger
 from shallotgate.registry._client import CurrentTable, RegistryClient
@@ -181,6 +184,22 @@
             return None
         return outcome if isinstance(outcome, RolloutStatus) else None
 
+    def list_refused(self) -> Sequence[StoredContent]:
+        """Return the contents that are refused, as known to this member."""
+        return [each for each in self._client.list_contents() if each.refused]
+
+    def allow_content(self, digest: str) -> OrderResult:
+        """Accept a refused content again; its crashes count anew."""
+        result, outcome = self._commit(
+            StoreContents(contents=[], forgotten=[digest]),
+            _COMMIT_TIMEOUT_S,
+            {'digest': digest},
+        )
+        if isinstance(outcome, Done) and not outcome.changed:
+            finding = Finding('contents', digest, 'is not refused')
+            return OrderResult('faulty', (finding,))
+        return result
+
     def read(self) -> CurrentTable | None:
         """Return the active table, or None if it cannot be confirmed."""
         try:
--- a/shallotgate/registry/_state.py
+++ b/shallotgate/registry/_state.py
@@ -8,6 +8,7 @@
 from shallotgate.codec import decode_tagged
 from shallotgate.generated.messages import (
     DomainOutcome,
+    Done,
     PublishOutcome,
     PublishTable,
     SetDomainOut,
@@ -70,7 +71,7 @@
         if isinstance(decoded, ROLLOUT_COMMANDS):
             return self._apply_rollout(index, decoded)
         if isinstance(decoded, StoreContents):
-            self._store_contents(decoded)
+            return self._store_contents(decoded)
         return None
 
     def snapshot(self) -> bytes:
@@ -142,8 +143,12 @@
             self._replace(msgspec.structs.replace(registry, rollouts=rollouts))
         return outcome
 
-    def _store_contents(self, command: StoreContents) -> None:
+    def _store_contents(self, command: StoreContents) -> Done:
+        """Store contents; return whether any that was stored is forgotten."""
         registry = self.read()
+        has_known = any(
+            digest in registry.contents for digest in command.forgotten
+        )
         contents = {
             digest: content
             for digest, content in registry.contents.items()
@@ -153,6 +158,7 @@
             {content.digest: content for content in command.contents}
         )
         self._replace(msgspec.structs.replace(registry, contents=contents))
+        return Done(changed=has_known)
 
     def _replace(self, registry: Registry) -> None:
         with self._lock:
--- a/shallotgate/registry/tests/test_crashes.py
+++ b/shallotgate/registry/tests/test_crashes.py
@@ -213,3 +213,17 @@
         )
         < 100_000
     )
+
+
+def test_content_that_an_operator_allows_is_accepted_by_all():
+    """Guards against a refusal by mistake that nobody can end."""
+    store = FakeStore()
+    service, mailbox, deliver = make_service('e1', store=store)
+    deliver(CrashReport(digest='d', targets=['t1', 't2']))
+    deliver(CrashReport(digest='d', targets=['t3']))
+    revision = service.make_update(-1).revision
+    store.contents.pop('d')
+    mailbox.sent.clear()
+    assert service.make_update(revision).contents == []
+    assert mailbox.sent == [('e1', BarContent(digest='d', hold_ms=0))]
+    assert deliver(CrashReport(digest='d', targets=['t1', 't2', 't3'])) == []
