Let a late record of a former leader return no trial

Found while the change was read again. A record that a leader proposed before it lost its term may be committed after one of its successor, with fewer trials; the stored number now never falls while a content is stored. A record that forgets a content and is committed after the content has crashed targets anew made the leader take it for allowed by an operator; only what was stored counts. An entry logs refusals of a leader once, not with each change; the gauge of refusals is 0 at members that don't lead.

--- a/shallotgate/consensus/_group.py
+++ b/shallotgate/consensus/_group.py
@@ -32,7 +32,7 @@
 
     @property
     def tolerance(self) -> int:
-        """Greatest number of lost voters that the group has ever survived.
+        """Greatest number of lost voters that the group could ever survive.
 
         >>> voters = [
         ...     MemberIdentity(instance=name, identity=name, voter=True)
--- a/shallotgate/gateway/_blocklist.py
+++ b/shallotgate/gateway/_blocklist.py
@@ -150,17 +150,18 @@
         """
         if update is None:
             return
+        self.revision = update.revision
         for message in update.contents:
+            if message.digest not in self._bars:
+                _LOGGER.info(
+                    'Content refused: a leader has told of it.',
+                    extra={
+                        'digest': message.digest,
+                        'hold_ms': message.hold_ms,
+                        'trials': message.trials,
+                    },
+                )
             self._set(message)
-        self.revision = update.revision
-        if update.contents:
-            _LOGGER.info(
-                'Refused contents were told by the leader.',
-                extra={
-                    'contents': len(update.contents),
-                    'revision': update.revision,
-                },
-            )
 
     def confirm_report(self, message: CrashRecorded) -> None:
         """Send a report no more: the leader has stored it."""
--- a/shallotgate/registry/_content_bars.py
+++ b/shallotgate/registry/_content_bars.py
@@ -75,7 +75,9 @@
         )
 
     def count_refused(self) -> int:
-        """Return the number of contents that are refused."""
+        """Return the number of contents that are refused; 0 elsewhere."""
+        if self._log.get_leading_term() is None:
+            return 0
         return len(self._tracker.list_bars(time.monotonic()))
 
     def _on_report(self, delivery: Delivery) -> None:
@@ -175,13 +177,14 @@
             self._changes += 1
             if content is None:
                 self._stored.discard(digest)
-        self._store.save(
-            digest, content, partial(self._note_saved, digest, on_saved)
-        )
+        if content is not None:
+            on_saved = partial(self._note_stored, digest, on_saved)
+        self._store.save(digest, content, on_saved)
 
-    def _note_saved(
+    def _note_stored(
         self, digest: str, on_saved: Callable[[bool], None], is_saved: bool
     ) -> None:
+        # It may have been accepted in the meantime.
         if is_saved and self._tracker.make_stored(digest) is not None:
             with self._lock:
                 self._stored.add(digest)
--- a/shallotgate/registry/_content_store.py
+++ b/shallotgate/registry/_content_store.py
@@ -14,7 +14,7 @@
 _LOGGER = get_logger('crashes')
 # Time-out of a commit in seconds. What is not committed is reported again.
 _COMMIT_TIMEOUT_S = 1.0
-# Contents in one record of the log; some 20 KB.
+# Contents in one record of the log, which keeps it below 100 KB.
 _MAX_BATCH = 128
 
 SavedCallback = Callable[[bool], None]
--- a/shallotgate/registry/_state.py
+++ b/shallotgate/registry/_state.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 
@@ -154,9 +155,12 @@
             for digest, content in registry.contents.items()
             if digest not in command.forgotten
         }
-        contents.update(
-            {content.digest: content for content in command.contents}
-        )
+        for content in command.contents:
+            known = registry.contents.get(content.digest, content)
+            # A record that a former leader proposed may be committed late.
+            contents[content.digest] = replace(
+                content, trials=max(content.trials, known.trials)
+            )
         self._replace(msgspec.structs.replace(registry, contents=contents))
         return Done(changed=has_known)
 
--- a/shallotgate/registry/tests/test_state.py
+++ b/shallotgate/registry/tests/test_state.py
@@ -7,6 +7,8 @@
     RecordVersions,
     SetDomainOut,
     StartRollout,
+    StoreContents,
+    StoredContent,
 )
 from shallotgate.registry import RegistryState
 
@@ -102,3 +104,38 @@
 def set_out(state, index, is_out, base_revision=-1):
     command = SetDomainOut(domain='a', out=is_out, base_revision=base_revision)
     return state.apply(index, encode_tagged(command))
+
+
+def store(state, trials=0, forgotten=()):
+    content = StoredContent(
+        digest='d', targets=['t'], requests=2, trials=trials, refused=True
+    )
+    contents = [] if forgotten else [content]
+    command = StoreContents(contents=contents, forgotten=list(forgotten))
+    return state.apply(1, encode_tagged(command))
+
+
+def test_record_of_a_former_leader_returns_no_trial(state):
+    """Guards against a trial that counts no more once it was spent."""
+    store(state, trials=2)
+    store(state, trials=1)
+    assert state.read().contents['d'].trials == 2
+
+
+def test_contents_are_part_of_snapshots(state):
+    """Guards against a member that learns of no refusal from a snapshot."""
+    empty = state.snapshot()
+    store(state, trials=1)
+    other = RegistryState()
+    other.restore(state.snapshot())
+    assert other.read() == state.read()
+    assert store(state, forgotten=['d']).changed
+    assert not store(state, forgotten=['d']).changed
+    assert state.snapshot() == empty
+
+
+def test_snapshot_of_a_build_without_contents_is_read(state):
+    """Guards against a member that does not start after an update."""
+    former = msgspec.msgpack.encode({'version': 3, 'document': b'd'})
+    state.restore(former)
+    assert (state.read().version, state.read().contents) == (3, {})
