--- a/shallotgate/consensus/tests/test_membership_policy.py
+++ b/shallotgate/consensus/tests/test_membership_policy.py
@@ -1,9 +1,12 @@
 """Tests of the decisions on voters."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from shallotgate.consensus import ConsensusOptions
 from shallotgate.consensus._group import Group, decode_group, encode_group
+from shallotgate.consensus._leadership import Leadership
 from shallotgate.consensus._membership_policy import (
     GroupView,
     choose_removal,
@@ -109,3 +112,16 @@
     events, states = explore(voters, depth)
     assert events is None
     assert states > 1000
+
+
+def test_time_in_which_a_group_has_to_stay_as_it_is_begins_anew(monkeypatch):
+    """Guards against commands that a group accepts while it still grows."""
+    clock = SimpleNamespace(now=0.0)
+    module = 'shallotgate.consensus._leadership.read_lease_clock'
+    monkeypatch.setattr(module, lambda: clock.now)
+    leadership = Leadership(term=2, identity='a', lease_s=0.3)
+    ages_s = []
+    for now, voters in ((4.0, 'abc'), (6.0, 'abcd'), (9.0, 'abcd')):
+        clock.now = now
+        ages_s.append(leadership.read_group_age_s(make_group(voters)))
+    assert ages_s == [4, 0, 3]
--- a/shallotgate/gateway/tests/test_crashes.py
+++ b/shallotgate/gateway/tests/test_crashes.py
@@ -7,7 +7,12 @@
 import itertools
 from functools import partial
 
-from shallotgate.generated.messages import BarContent, CrashRecorded
+from shallotgate.gateway._crashes import RequestContent
+from shallotgate.generated.messages import (
+    BarContent,
+    ContentTrial,
+    CrashRecorded,
+)
 from shallotgate.registry import CrashService
 from shallotgate.registry.tests.fakes import FakeLog, FakeStore
 from shallotgate.transport import Delivery
@@ -229,3 +234,47 @@
     turns, crashes = run_virtual(play())
     assert turns > 5
     assert crashes <= 12 + 2
+
+
+def test_report_is_sent_until_a_leader_has_stored_it():
+    """Guards against crashes that no leader knows of after an election."""
+
+    async def play():
+        entry = SimulatedEntry(shards=1)
+        prepare(entry)
+        entry.tell_leader = lambda message: None
+        await entry.send_request(POISON.decode())
+        await asyncio.sleep(3)
+        unconfirmed = {each.report for each in entry.reports}
+        sent = len(entry.reports)
+        for report in unconfirmed:
+            entry.blocklist.confirm_report(CrashRecorded(report=report))
+        await asyncio.sleep(3)
+        return len(unconfirmed), sent, len(entry.reports) - sent
+
+    reports, sent, later = run_virtual(play())
+    assert (reports, later) == (1, 0)
+    assert sent >= 5
+
+
+def test_trial_that_is_granted_late_is_used_once():
+    """Guards against a trial that counts and that nobody may use."""
+
+    async def play():
+        entry = SimulatedEntry(shards=1)
+        digest = RequestContent(b'GET', '', b'/x', b'').compute_digest()
+        entry.blocklist.add(BarContent(digest=digest, hold_ms=1))
+        await asyncio.sleep(1)
+        content = RequestContent(b'GET', '', b'/x', b'')
+        before = await entry.blocklist.admit(content)
+        entry.blocklist.handle_answer(
+            ContentTrial(digest=digest, granted=True, hold_ms=9000, trials=1)
+        )
+        return [before, *[await entry.blocklist.admit(content) for _ in '12']]
+
+    before, used, after = run_virtual(play())
+    assert (before.is_trial, used.is_trial, after.is_trial) == (
+        False,
+        True,
+        False,
+    )
