Name the membership change that keeps out another one

The leader's log said only that another membership change is in progress, so that a held lock could not be told from a removal that is refused by the number of voters.

Change: the error names the change that is kept out, the one that holds the lock, and for how long.

The lock is released and taken again each second by the promotion of the member that is to be removed. None of 'too few other members respond' or 'the former membership change is not committed yet' appears: no majority was missing and no proposal was open.

--- a/shallotgate/consensus/_membership_changes.py
+++ b/shallotgate/consensus/_membership_changes.py
@@ -32,6 +32,9 @@
         self._state = state
         self._leader = leader
         self._lock = threading.Lock()
+        # The change that holds the lock, and lease clock time since then.
+        self._holder = ''
+        self._held_since = 0.0
         # The last membership change that this member proposed.
         self._newest: Proposal | None = None
 
@@ -44,19 +47,15 @@
         ensure that.
         """
         deadline = time.monotonic() + timeout_s
-        if not self._lock.acquire(timeout=max(timeout_s, 0)):
-            raise ConsensusError('another membership change is in progress')
-        try:
+        with self._serialize_changes(f'replace {instance}', timeout_s):
             self._replace_identity(instance, deadline)
-        finally:
-            self._lock.release()
 
     def add_learner(self, leadership: Leadership, instance: str) -> None:
         """Add a non-voting member; it is promoted once it has caught up.
 
         Raises ``ConsensusError`` if the record is not committed in time.
         """
-        with self._serialize_changes():
+        with self._serialize_changes(f'add {instance}'):
             with self._state.changed:
                 group = self._state.journal.group
                 identity = leadership.identities.get(instance)
@@ -72,7 +71,7 @@
     def remove_member(self, leadership: Leadership, instance: str) -> None:
         """Remove a member; raises ``ConsensusError`` on failure."""
         deadline = time.monotonic() + _RESUME_INTERVAL_S
-        with self._serialize_changes():
+        with self._serialize_changes(f'remove {instance}'):
             self._require_live_majority(leadership, instance, deadline)
             with self._state.changed:
                 group = self._state.journal.group
@@ -133,14 +132,25 @@
         )
 
     @contextmanager
-    def _serialize_changes(self) -> Iterator[None]:
-        if not self._lock.acquire(timeout=_RESUME_INTERVAL_S):
-            raise ConsensusError('another membership change is in progress')
+    def _serialize_changes(
+        self, change: str, timeout_s: float = _RESUME_INTERVAL_S
+    ) -> Iterator[None]:
+        if not self._lock.acquire(timeout=max(timeout_s, 0)):
+            held_s = read_lease_clock() - self._held_since
+            raise ConsensusError(
+                f'{change} is kept out by {self._holder}, which holds the '
+                f'lock of changes for {held_s:.3f} s'
+            )
+        self._note_holder(change)
         try:
             yield
         finally:
             self._lock.release()
 
+    def _note_holder(self, change: str) -> None:
+        self._holder = change
+        self._held_since = read_lease_clock()
+
     def _resume_replacements(self, leadership: Leadership) -> None:
         """Retry unfinished replacements until the leadership ends."""
         state = self._state
@@ -149,6 +159,7 @@
             member = self._find_unfinished_replacement()
             # Skip if the lock is held: a change by an operator has priority.
             if member is not None and self._lock.acquire(blocking=False):
+                self._note_holder(f'promote {member.instance}')
                 try:
                     self._try_finish_replacement(leadership, member, deadline)
                 finally:
