Let the model of membership find changes that never end

Now a learner may be lost for good again before its vote, and each state is checked a second time: if nothing else happens, all instances that run get a vote, and lost members go as far as the number of voters allows. The lock of changes is modelled as the product takes it: a promotion that waits for its member keeps out all else.

--- a/shallotgate/consensus/tests/membership_model.py
+++ b/shallotgate/consensus/tests/membership_model.py
@@ -3,6 +3,9 @@
 A log is a sequence of groups. As in Raft, each disk holds a prefix of it, a
 group is in effect as soon as it is in the log, and what a majority of that
 group holds is committed. Instances that can't be told apart are tried once.
+
+Each state is checked twice: what is committed survives the disks that may be
+lost, and if nothing else happens, the leader ends all changes that are due.
 """
 
 from collections.abc import Iterator
@@ -23,6 +26,10 @@
 LONG_S = 10.0
 # Ends the name of an instance that came in place of another.
 SUCCESSOR_MARK = "'"
+# Times that one instance after the other may be lost for good in one place.
+MAX_SUCCESSORS = 2
+# Changes in which any group of the model has to reach its final members.
+MAX_CHANGES = 30
 
 
 @dataclass(frozen=True)
@@ -154,6 +161,20 @@
                 replace(state.with_disk(wiped), lost=state.lost | {disk.name}),
             )
             yield f'gone {disk.name}', replace_instance(state, disk)
+        elif is_learner(state, disk):
+            # Its disk counts as lost already, until it has a vote.
+            yield f'gone again {disk.name}', replace_instance(state, disk)
+
+
+def is_learner(state: State, disk: Disk) -> bool:
+    """Return whether a successor has no vote yet and may be lost itself."""
+    member = state.log[-1].find(disk.name)
+    return (
+        disk.name in state.lost
+        and disk.name.count(SUCCESSOR_MARK) in range(1, MAX_SUCCESSORS)
+        and member is not None
+        and not member.voter
+    )
 
 
 def replace_instance(state: State, gone: Disk) -> State:
@@ -162,7 +183,18 @@
     disks = tuple(
         Disk(name, name, 0) if disk is gone else disk for disk in state.disks
     )
-    return replace(state, disks=disks, lost=state.lost | {name})
+    return replace(state, disks=disks, lost=(state.lost - {gone.name}) | {name})
+
+
+def list_predecessors(name: str) -> list[str]:
+    """Return the instances in whose place one came.
+
+    >>> list_predecessors("a''")
+    ['a', "a'"]
+    """
+    root = name.rstrip(SUCCESSOR_MARK)
+    count = len(name) - len(root)
+    return [root + SUCCESSOR_MARK * number for number in range(count)]
 
 
 def iter_steps(state: State) -> Iterator[tuple[str, State]]:
@@ -170,12 +202,7 @@
     leader = find_leader(state)
     if leader is None:
         return
-    # What the leader lacks was not committed, and all that follow it drop it.
-    disks = tuple(
-        replace(disk, length=min(disk.length, leader.length))
-        for disk in state.disks
-    )
-    state = replace(state, log=state.log[: leader.length], disks=disks)
+    state = cut_after(state, leader)
     group = state.log[-1]
     behind = tuple(
         disk
@@ -195,6 +222,15 @@
         yield from iter_outcomes(state, leader, 'command', group)
 
 
+def cut_after(state: State, leader: Disk) -> State:
+    """Drop what the leader lacks: it was not committed."""
+    disks = tuple(
+        replace(disk, length=min(disk.length, leader.length))
+        for disk in state.disks
+    )
+    return replace(state, log=state.log[: leader.length], disks=disks)
+
+
 def iter_outcomes(
     state: State, leader: Disk, name: str, changed: Group
 ) -> Iterator[tuple[str, State]]:
@@ -231,8 +267,7 @@
         if disk.name in state.lost
         and not (
             disk.identity in group.voters
-            and group.find(disk.name.removesuffix(SUCCESSOR_MARK))
-            in {None, group.find(disk.name)}
+            and not any(map(group.find, list_predecessors(disk.name)))
         )
     )
     return replace(state, committed=length, lost=lost)
@@ -249,6 +284,8 @@
 ) -> tuple[str, Group] | None:
     """Return the change that the leader proposes, as the product does."""
     running = {disk.name: disk for disk in state.up}
+    if is_kept_out(state, leader, group):
+        return None
     for member in group.members:
         disk = running.get(member.instance)
         if disk is not None and disk.identity != member.identity:
@@ -287,6 +324,79 @@
     return None
 
 
+def is_kept_out(state: State, leader: Disk, group: Group) -> bool:
+    """Return whether a promotion waits with the lock of changes held.
+
+    The first member without a vote is waited for, and the lock is taken again
+    at once after each attempt.
+    """
+    live = frozenset(
+        disk.identity for disk in state.disks if not disk.is_noticed
+    )
+    view = GroupView(group, leader.name, {}, False, live)
+    waiting = next(
+        (
+            member
+            for member in group.members
+            if not member.voter and may_promote(view, member)
+        ),
+        None,
+    )
+    return waiting is not None and waiting.identity not in {
+        disk.identity for disk in state.up
+    }
+
+
+def find_endless_wait(state: State) -> str | None:
+    """Return what the leader never ends although nothing else happens.
+
+    Who is down stays down. Nothing is found where those who run can't elect a
+    leader or commit its records.
+    """
+    state = replace(
+        state,
+        disks=tuple(
+            replace(disk, is_noticed=not disk.is_up) for disk in state.disks
+        ),
+    )
+    for _ in range(MAX_CHANGES):
+        leader = find_leader(state)
+        if leader is None:
+            return None
+        state = spread_to_all(cut_after(state, leader))
+        if not is_held(state, len(state.log)):
+            return None
+        step = choose_step(state, leader, state.log[-1])
+        if step is None:
+            return find_unfinished(state)
+        name, changed = step
+        state = spread_to_all(replace(state, log=(*state.log, changed)))
+        if not is_held(state, len(state.log)):
+            return f'{name} is never committed'
+    return 'changes without end'
+
+
+def spread_to_all(state: State) -> State:
+    """Let all members that run take the whole log."""
+    group = state.log[-1]
+    members = tuple(disk for disk in state.up if group.includes(disk.identity))
+    return spread(state, members)
+
+
+def find_unfinished(state: State) -> str | None:
+    """Return an instance that runs without a vote or a lost member."""
+    group = state.log[-1]
+    for disk in state.up:
+        if disk.identity not in group.voters:
+            return f'{disk.name} never gets its vote'
+    running = {disk.identity for disk in state.up}
+    for member in group.members:
+        may_go = not member.voter or len(group.voters) > group.min_voters
+        if may_go and member.identity not in running:
+            return f'{member.instance} is never removed'
+    return None
+
+
 def find_loss(state: State, losable: int) -> str | None:
     """Return the loss of further disks that the group does not survive.
 
@@ -307,9 +417,9 @@
 
 
 def explore(voters: int, depth: int) -> tuple[list[str] | None, int]:
-    """Try all orders of events; return the first that loses something.
+    """Try all orders of events; return the first that breaks a check.
 
-    Returns the events and the loss, or None, and the number of states.
+    Returns the events and what is broken, or None, and the number of states.
     """
     losable = (voters - 1) // 2
     start = make_state(voters)
@@ -324,9 +434,11 @@
                     continue
                 seen.add(successor.key)
                 path = (*events, event)
-                loss = find_loss(successor, losable)
-                if loss is not None:
-                    return [*path, loss], len(seen)
+                broken = find_loss(successor, losable) or find_endless_wait(
+                    successor
+                )
+                if broken is not None:
+                    return [*path, broken], len(seen)
                 following.append((successor, path))
         layer = following
     return None, len(seen)
--- a/shallotgate/consensus/tests/test_membership_policy.py
+++ b/shallotgate/consensus/tests/test_membership_policy.py
@@ -107,7 +107,8 @@
 
     Members go down, come back, lose their disks or are replaced in any order,
     between the steps of the leader and before any of its records has arrived.
-    At each point, further disks up to the tolerated number are lost.
+    At each point, further disks up to the tolerated number are lost. It guards
+    against changes that never end, too: at each point, nothing else happens.
     """
     events, states = explore(voters, depth)
     assert events is None
