Let no membership change wait for another process under a lock

Change: one loop on the worker thread makes all changes. Each turn plans from a view of the members, as plan_change decides without threads or a network, and takes the first change that those who respond can commit. It waits for nothing but the commit of its own record, which either a majority takes or which ends with the leadership; whether it is committed is read from the log, not from a future that may never get a result. Same cause on related paths: replace_member of the manager (a wiped member that is silent again, 2 s under the lock) and of an operator (as long as the call may take) are now served by that loop; the lock, both threads and their timeouts are gone. Changes that wait are logged and are in status and two gauges, with the reason; a removal that the number of voters forbids left no trace before. A member that was just added counts as heard then, as the next turn would remove it before its first reply otherwise.

Why it works: no change that can be made waits for one that can't. The tests of replacements stopped a leader by replacing a method that is gone; they hold back the vote by the policy now and check the same.

--- a/shallotgate/consensus/_group_history.py
+++ b/shallotgate/consensus/_group_history.py
@@ -22,6 +22,11 @@
         """Group of the latest members record."""
         return self._groups[-1][1]
 
+    @property
+    def latest_index(self) -> int:
+        """Index of the latest members record."""
+        return self._groups[-1][0]
+
     def find(self, index: int) -> Group:
         """Return the group in effect at an index not before the snapshot."""
         return next(
--- a/shallotgate/consensus/_leader.py
+++ b/shallotgate/consensus/_leader.py
@@ -43,7 +43,7 @@
         for thread in leadership.threads:
             thread.start()
         _LOGGER.info('Leading.', extra={'term': state.term})
-        self._flush()
+        self.flush()
 
     def replicate_to(self, leadership: Leadership, instance: str) -> None:
         """Start replication to a member that was added."""
@@ -64,29 +64,18 @@
             _LOGGER.warning('No recent replies from a majority of the voters.')
             state.step_down()
 
-    def propose(
-        self,
-        proposal: Proposal,
-        timeout_s: float,
-        expected: Leadership | None = None,
-    ) -> object:
-        """Commit a proposal and return its result.
-
-        With ``expected``, raises ``NotLeaderError`` unless that leadership is
-        still the current one.
-        """
+    def propose(self, command: bytes, timeout_s: float) -> object:
+        """Commit a command and return its result."""
         deadline = time.monotonic() + timeout_s
-        if proposal.kind == 'command':
-            self._await_tolerance(deadline)
+        proposal = Proposal('command', command)
+        self._await_tolerance(deadline)
         with self._state.changed:
             leadership = self.require_leadership()
-            if expected not in {None, leadership}:
-                raise NotLeaderError(self._state.leader)
             is_first = not leadership.pending
             leadership.pending.append(proposal)
         if is_first:
             # Proposals that arrive during a sync are batched into the next.
-            self._state.worker.post(self._flush)
+            self._state.worker.post(self.flush)
         try:
             return proposal.future.result(max(deadline - time.monotonic(), 0))
         except TimeoutError as error:
@@ -124,6 +113,36 @@
                 return leadership.term
             return None
 
+    def flush(self) -> None:
+        """Write and sync all pending proposals as a batch; worker only."""
+        state = self._state
+        leadership = state.leadership
+        if leadership is None:
+            return
+        with state.changed:
+            proposals = leadership.take_pending()
+            first = state.journal.last_index + 1
+            state.journal.append(
+                [
+                    LogRecord(
+                        index=index,
+                        term=leadership.term,
+                        kind=proposal.kind,
+                        payload=proposal.payload,
+                    )
+                    for index, proposal in enumerate(proposals, first)
+                ],
+            )
+            for index, proposal in enumerate(proposals, first):
+                proposal.term = leadership.term
+                state.proposals[index] = proposal
+            # Wake the replicators, so that followers sync in parallel with
+            # the leader.
+            state.changed.notify_all()
+        state.persist()
+        with state.changed:
+            state.advance_leader_commit(leadership)
+
     def read_barrier(self, timeout_s: float) -> int:
         """Wait until all records committed before the call are applied.
 
@@ -210,33 +229,3 @@
             name=f'replicate-{peer}',
             daemon=True,
         )
-
-    def _flush(self) -> None:
-        """Write and sync all pending proposals as a batch; worker only."""
-        state = self._state
-        leadership = state.leadership
-        if leadership is None:
-            return
-        with state.changed:
-            proposals = leadership.take_pending()
-            first = state.journal.last_index + 1
-            state.journal.append(
-                [
-                    LogRecord(
-                        index=index,
-                        term=leadership.term,
-                        kind=proposal.kind,
-                        payload=proposal.payload,
-                    )
-                    for index, proposal in enumerate(proposals, first)
-                ],
-            )
-            for index, proposal in enumerate(proposals, first):
-                proposal.term = leadership.term
-                state.proposals[index] = proposal
-            # Wake the replicators, so that followers sync in parallel with
-            # the leader.
-            state.changed.notify_all()
-        state.persist()
-        with state.changed:
-            state.advance_leader_commit(leadership)
--- a/shallotgate/consensus/_leadership.py
+++ b/shallotgate/consensus/_leadership.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
-from typing import Any, Literal
+from typing import Any, Literal, NamedTuple
 
 from shallotgate.consensus._group import Group
 from shallotgate.timers import read_lease_clock
@@ -31,6 +31,15 @@
     acked_at: float = float('-inf')
 
 
+class ReplacementRequest(NamedTuple):
+    """Request of an operator to replace the identity of a member."""
+
+    instance: str
+    # Lease clock time; a reply from before may come from a disk that was lost
+    # since.
+    requested_at: float
+
+
 class Leadership:
     """State of a leader in one term; access requires ``changed``."""
 
@@ -42,6 +51,8 @@
         self.identities: dict[str, str] = {}
         # Lease clock time of the latest join request, by instance.
         self.join_requests: dict[str, float] = {}
+        # Requests of operators that wait.
+        self.replacements: list[ReplacementRequest] = []
         self.pending: list[Proposal] = []
         # Set once a record of this term is applied.
         self.is_ready = False
@@ -52,6 +63,8 @@
         self.threads: list[threading.Thread] = []
         self._lease_s = lease_s
         self._started_at = read_lease_clock()
+        # Lease clock time at which an identity was admitted.
+        self._admitted_at: dict[str, float] = {}
         # Group at the last look at its age, and since when it is that.
         self._known_group: Group | None = None
         self._group_since = self._started_at
@@ -69,6 +82,19 @@
         progress.acked_at = max(progress.acked_at, sent_at)
         progress.match_index = max(progress.match_index, match_index)
 
+    def record_admission(self, identity: str) -> None:
+        """Record that an identity becomes a member now.
+
+        It is not unresponsive before it had time for its first reply.
+        """
+        self._admitted_at[identity] = read_lease_clock()
+
+    def has_replied_since(self, instance: str, since: float) -> bool:
+        """Return whether a message sent since then was acknowledged."""
+        identity = self.identities.get(instance, '')
+        progress = self.progress.get(identity)
+        return progress is not None and progress.acked_at >= since
+
     def holds_lease(self, group: Group) -> bool:
         """Return whether the lease excludes any other leader at present."""
         if self.is_closed or self.is_transferring:
@@ -137,7 +163,17 @@
         """Return the seconds since a member last acknowledged a message."""
         progress = self.progress.get(identity)
         acked_at = progress.acked_at if progress else float('-inf')
-        return read_lease_clock() - max(acked_at, self._started_at)
+        return min(
+            read_lease_clock() - acked_at, self.read_admission_age_s(identity)
+        )
+
+    def read_admission_age_s(self, identity: str) -> float:
+        """Return the seconds since an identity became a member.
+
+        Counted from the begin of the leadership for those of former leaders.
+        """
+        admitted_at = self._admitted_at.get(identity, self._started_at)
+        return read_lease_clock() - admitted_at
 
     def _read_quorum_ack(self, group: Group) -> float:
         acked_times = {
--- a/shallotgate/consensus/_membership.py
+++ b/shallotgate/consensus/_membership.py
@@ -1,140 +1,208 @@
-"""Automatic membership changes."""
+"""Changes of the members of the group."""
 
-import threading
 import time
-from functools import partial
+from collections.abc import Mapping
+from dataclasses import replace
+from types import MappingProxyType
 
-from shallotgate.consensus._group import Group
+from shallotgate.consensus._group import encode_group
 from shallotgate.consensus._leader import Leader
-from shallotgate.consensus._leadership import Leadership
+from shallotgate.consensus._leadership import (
+    Leadership,
+    Proposal,
+    ReplacementRequest,
+)
 from shallotgate.consensus._member_state import MemberState
-from shallotgate.consensus._membership_changes import MembershipChanges
-from shallotgate.consensus._membership_policy import choose_removal, make_view
-from shallotgate.errors import ConsensusError
-from shallotgate.generated.messages import MemberIdentity
+from shallotgate.consensus._membership_policy import (
+    MembershipChange,
+    make_view,
+    plan_change,
+)
+from shallotgate.consensus._membership_waits import MembershipWaits
+from shallotgate.consensus._status import MembershipWait
+from shallotgate.errors import ConsensusError, NotLeaderError
 from shallotgate.logs import get_logger
 from shallotgate.timers import read_lease_clock
 
 _LOGGER = get_logger('consensus')
-# Interval of membership checks. It is short compared to the time within which
-# a replaced member has to become a voter.
-_RECONCILE_INTERVAL_S = 0.25
-# Timeout of the replacement of a member with a wiped disk; the next check
-# retries it.
-_REPLACE_TIMEOUT_S = 2.0
-
-
-def make_membership_changes(
-    state: MemberState, leader: Leader
-) -> MembershipChanges:
-    """Wire up requested and, if enabled, automatic membership changes."""
-    changes = MembershipChanges(state, leader)
-    state.notifier.subscribe(changes.on_leadership_change)
-    if state.options.automatic_membership:
-        state.notifier.subscribe(
-            MembershipManager(state, changes).on_leadership_change
-        )
-    return changes
+# Interval of checks while nothing is due. It is short compared to the time
+# within which a replaced member has to become a voter.
+_IDLE_INTERVAL_S = 0.25
+_COMMIT_MESSAGES: Mapping[str, str] = MappingProxyType(
+    {
+        'replace': 'Member replaced by its new identity without a vote.',
+        'remove': 'Unresponsive member removed.',
+        'promote': 'Member got its vote.',
+        'add': 'Member added without a vote.',
+    }
+)
 
 
 class MembershipManager:
-    """Adds, replaces and removes members while this member leads.
+    """Adds, replaces, promotes and removes members while this member leads.
 
     An instance that requests to join is added as a non-voting member and
     becomes a voter once it has caught up. Unresponsive members are removed as
     long as the group tolerates as many lost disks as before. A member whose
     disk was wiped returns with another identity and is replaced. Each step
     commits one record, and majorities before and after it overlap.
+
+    All changes are made by one loop on the worker thread, which never waits for
+    a reply: each turn plans anew from what the members are then. Calls of
+    operators are requests that the loop serves.
     """
 
-    def __init__(self, state: MemberState, changes: MembershipChanges) -> None:
+    def __init__(self, state: MemberState, leader: Leader) -> None:
         self._state = state
-        self._changes = changes
+        self._leader = leader
+        self._waits = MembershipWaits()
+        self._leadership: Leadership | None = None
+        # The newest change of this leadership, until it is committed.
+        self._open: MembershipChange | None = None
+        # Lease clock time of the next turn.
+        self._next_turn_at: float = 0
 
-    def on_leadership_change(self, is_leading: bool) -> None:
-        """Start to manage the membership when this member leads."""
-        with self._state.changed:
-            leadership = self._state.leadership
-        if not is_leading or leadership is None:
-            return
-        threading.Thread(
-            target=self._run,
-            args=(leadership,),
-            name='membership',
-            daemon=True,
-        ).start()
-
-    def _run(self, leadership: Leadership) -> None:
-        while not leadership.is_closed:
-            try:
-                self._reconcile(leadership)
-            except ConsensusError as error:
-                _LOGGER.info('Membership change failed: %s.', error)
-            self._state.wait_until(
-                partial(getattr, leadership, 'is_closed'),
-                time.monotonic() + _RECONCILE_INTERVAL_S,
-            )
+    def tick(self) -> None:
+        """Propose the next change of the group if one is due; worker only."""
+        now = read_lease_clock()
+        leadership = self._state.leadership
+        if leadership is not self._leadership:
+            self._leadership = leadership
+            self._open = None
+            self._next_turn_at = now
+            self._waits.update((), now)
+        if leadership is not None and now >= self._next_turn_at:
+            self._take_turn(leadership, now)
 
-    def _reconcile(self, leadership: Leadership) -> None:
-        """Perform at most one membership change."""
-        with self._state.changed:
-            group = self._state.journal.group
-            wiped = self._find_wiped(leadership, group)
-            joining = self._find_joining(leadership, group)
+    def replace_member(self, instance: str, timeout_s: float) -> None:
+        """Request the vote of an instance for its new identity and wait.
+
+        Returns at once if the identity that replies has the vote already.
+        """
+        state = self._state
+        deadline = time.monotonic() + timeout_s
+        request = ReplacementRequest(instance, read_lease_clock())
+        with state.changed:
+            leadership = self._leader.require_leadership()
+            if instance == state.instance or not self._is_member(instance):
+                raise ConsensusError(
+                    f'{instance} is not a member of the group or is this member'
+                )
+            leadership.replacements.append(request)
+        # The next turn serves it, although nothing was due until now.
+        self._next_turn_at = 0
+        try:
+            self._await_replacement(leadership, request, deadline)
+        finally:
+            with state.changed:
+                leadership.replacements.remove(request)
+
+    def list_waits(self) -> tuple[MembershipWait, ...]:
+        """Return the changes that wait; empty unless this member leads."""
+        return self._waits.list_waits(read_lease_clock())
+
+    def _take_turn(self, leadership: Leadership, now: float) -> None:
+        state = self._state
+        self._next_turn_at = now
+        with state.changed:
+            if not leadership.is_ready or leadership.is_transferring:
+                return
+            journal = state.journal
+            if journal.groups.latest_index > state.commit_index:
+                # Majorities before and after two changes need not overlap.
+                self._report_open_change(now)
+                return
             view = make_view(
                 leadership,
-                group,
-                self._state.instance,
-                self._state.options,
-                has_newcomer=joining is not None,
+                journal.group,
+                state.instance,
+                state.commit_index,
+                state.options,
             )
-        removed = choose_removal(view, self._state.options)
-        if wiped is not None:
-            self._changes.replace_member(wiped.instance, _REPLACE_TIMEOUT_S)
-        elif removed is not None:
-            self._changes.remove_member(leadership, removed.instance)
-            _LOGGER.warning(
-                'Unresponsive member removed.',
-                extra={
-                    'member': removed.instance,
-                    'newcomer': joining,
-                    'voters': len(group.voters),
-                    'min_voters': group.min_voters,
-                },
-            )
-        elif joining is not None:
-            self._changes.add_learner(leadership, joining)
-            _LOGGER.info(
-                'Member added without a vote.', extra={'member': joining}
+        self._report_commit()
+        plan = plan_change(view, state.options)
+        self._waits.update(plan.waiting, now)
+        if plan.change is not None:
+            self._propose(leadership, plan.change)
+        elif not plan.waiting:
+            self._next_turn_at = now + _IDLE_INTERVAL_S
+
+    def _propose(
+        self, leadership: Leadership, change: MembershipChange
+    ) -> None:
+        with self._state.changed:
+            if change.action == 'add':
+                leadership.record_admission(
+                    leadership.identities[change.instance]
+                )
+            leadership.pending.append(
+                Proposal('members', encode_group(change.group))
             )
+        self._open = change
+        self._leader.flush()
+        if change.action == 'add':
+            self._leader.replicate_to(leadership, change.instance)
 
-    def _find_wiped(
-        self,
-        leadership: Leadership,
-        group: Group,
-    ) -> MemberIdentity | None:
-        """Return a member that replies with another identity."""
-        for member in group.members:
-            current_identity = leadership.identities.get(member.instance)
-            if (
-                current_identity is not None
-                and current_identity != member.identity
-            ):
-                ack_age_s = leadership.read_member_ack_age_s(current_identity)
-                if ack_age_s < self._state.options.replace_unresponsive_s:
-                    return member
-        return None
-
-    def _find_joining(
+    def _report_open_change(self, now: float) -> None:
+        if self._open is not None:
+            reason = 'its record is not committed; all other changes wait'
+            self._waits.update((replace(self._open, obstacle=reason),), now)
+
+    def _report_commit(self) -> None:
+        change = self._open
+        self._open = None
+        if change is None:
+            return
+        group = change.group
+        log = _LOGGER.warning if change.action == 'remove' else _LOGGER.info
+        log(
+            _COMMIT_MESSAGES[change.action],
+            extra={
+                'member': change.instance,
+                'members': len(group.members),
+                'voters': len(group.voters),
+                'min_voters': group.min_voters,
+            },
+        )
+
+    def _await_replacement(
         self,
         leadership: Leadership,
-        group: Group,
-    ) -> str | None:
-        """Return a non-member with a valid join request."""
-        oldest_valid = (
-            read_lease_clock() - self._state.options.join_request_ttl_s
+        request: ReplacementRequest,
+        deadline: float,
+    ) -> None:
+        state = self._state
+        instance = request.instance
+        state.wait_until(
+            lambda: (
+                leadership.is_closed
+                or not self._is_member(instance)
+                or self._is_replaced(leadership, request)
+            ),
+            deadline,
+        )
+        with state.changed:
+            if leadership.is_closed:
+                raise NotLeaderError(state.leader)
+            if self._is_replaced(leadership, request):
+                return
+            if not self._is_member(instance):
+                raise ConsensusError(f'{instance} was removed from the group')
+        reason = self._waits.explain(instance) or 'its turn has not come'
+        raise ConsensusError(f'{instance} is not replaced in time: {reason}')
+
+    def _is_member(self, instance: str) -> bool:
+        return self._state.journal.group.find(instance) is not None
+
+    def _is_replaced(
+        self, leadership: Leadership, request: ReplacementRequest
+    ) -> bool:
+        """Return whether the identity that replies now has a vote."""
+        state = self._state
+        if not leadership.has_replied_since(*request):
+            return False
+        identity = leadership.identities[request.instance]
+        return (
+            identity in state.journal.group.voters
+            and state.journal.groups.latest_index <= state.commit_index
         )
-        for instance, requested_at in leadership.join_requests.items():
-            if requested_at > oldest_valid and group.find(instance) is None:
-                return instance
-        return None
--- a/shallotgate/consensus/_replicated_log.py
+++ b/shallotgate/consensus/_replicated_log.py
@@ -8,9 +8,10 @@
 from shallotgate.consensus._elector import Elector
 from shallotgate.consensus._follower import Follower
 from shallotgate.consensus._leader import Leader
-from shallotgate.consensus._leadership import Leadership, Proposal
+from shallotgate.consensus._leadership import Leadership
+from shallotgate.consensus._leadership_transfer import LeadershipTransfer
 from shallotgate.consensus._member_state import MemberState
-from shallotgate.consensus._membership import make_membership_changes
+from shallotgate.consensus._membership import MembershipManager
 from shallotgate.consensus._notifier import LeadershipCallback
 from shallotgate.consensus._options import ConsensusOptions
 from shallotgate.consensus._state_machine import StateMachine
@@ -52,14 +53,16 @@
         self._folder = DataFolder(folder)
         self._state = MemberState(instance, mailbox, self._folder, options)
         self._leader = Leader(self._state)
-        self._changes = make_membership_changes(self._state, self._leader)
+        self._membership = MembershipManager(self._state, self._leader)
         self._elector = Elector(self._state, self._leader.begin)
         self._follower = Follower(self._state)
         self._bootstrapper = GroupBootstrapper(
             self._state, members, bootstrap=bootstrap
         )
         self._applier = Applier(self._state, machine)
-        self._status_reader = StatusReader(self._state, self._elector)
+        self._status_reader = StatusReader(
+            self._state, self._elector, self._membership
+        )
         self._ticks: Subscription | None = None
         self._is_tick_queued = False
         for member in members:
@@ -135,7 +138,7 @@
         ``CommitUnknownError`` if its outcome is unknown after ``timeout_s``,
         and any exception raised by ``apply``.
         """
-        return self._leader.propose(Proposal('command', command), timeout_s)
+        return self._leader.propose(command, timeout_s)
 
     def read_barrier(self, timeout_s: float) -> int:
         """Wait until all records committed before the call are applied.
@@ -164,18 +167,19 @@
         Used for a graceful stop. Returns whether another leader is known
         within ``timeout_s``.
         """
-        return self._changes.transfer(timeout_s)
+        return LeadershipTransfer(self._state).run(timeout_s)
 
     def replace_member(self, instance: str, timeout_s: float) -> None:
         """Replace the identity of a member with its new one.
 
         Waits until the new identity holds all committed records. Does nothing
-        if the identity of the instance is unchanged. Raises
-        ``NotLeaderError``, ``CommitUnknownError``, or ``ConsensusError`` if
-        the instance is not another member, does not catch up in time, or too
-        few other voters respond.
+        if the identity of the instance is unchanged. Keeps out no other change
+        of the group meanwhile. Raises ``NotLeaderError``, or ``ConsensusError``
+        with the reason if the instance is not another member, does not catch
+        up in time, or too few other voters respond. The replacement may have
+        begun then, and a further call continues it.
         """
-        self._changes.replace_member(instance, timeout_s)
+        self._membership.replace_member(instance, timeout_s)
 
     def on_leadership(self, callback: LeadershipCallback) -> None:
         """Subscribe to leadership changes.
@@ -202,6 +206,7 @@
     def _tick(self) -> None:
         self._is_tick_queued = False
         self._leader.tick()
+        self._membership.tick()
         self._elector.tick()
         self._bootstrapper.tick()
 
--- a/shallotgate/consensus/_status.py
+++ b/shallotgate/consensus/_status.py
@@ -37,6 +37,17 @@
     last_heard_s: float
 
 
+@dataclass(frozen=True)
+class MembershipWait:
+    """A change of the members that the leader can't make yet."""
+
+    action: str
+    # Instance of the member to replace, remove, promote or add.
+    instance: str
+    reason: str
+    waiting_s: float
+
+
 @dataclass(frozen=True)
 class GroupStatus:
     """Status of the group as seen by one member."""
@@ -55,4 +66,6 @@
     log_syncs: int
     # Members of the group, followed by known identities that are not members.
     members: tuple[MemberStatus, ...]
+    # Changes of the members that wait, as the leader knows; empty elsewhere.
+    waits: tuple[MembershipWait, ...]
     damage: DamageReport | None
--- a/shallotgate/consensus/_status_reader.py
+++ b/shallotgate/consensus/_status_reader.py
@@ -4,6 +4,7 @@
 
 from shallotgate.consensus._elector import Elector
 from shallotgate.consensus._member_state import MemberState
+from shallotgate.consensus._membership import MembershipManager
 from shallotgate.consensus._status import (
     DamageReport,
     GroupStatus,
@@ -15,9 +16,15 @@
 class StatusReader:
     """Collects the status of this member and of the other members."""
 
-    def __init__(self, state: MemberState, elector: Elector) -> None:
+    def __init__(
+        self,
+        state: MemberState,
+        elector: Elector,
+        membership: MembershipManager,
+    ) -> None:
         self._state = state
         self._elector = elector
+        self._membership = membership
         self.damage: DamageReport | None = None
 
     def read(self) -> GroupStatus:
@@ -36,6 +43,7 @@
                 snapshot_index=state.journal.snapshot.index,
                 log_syncs=state.folder.log.sync_count,
                 members=tuple(self._list_members()),
+                waits=self._membership.list_waits(),
                 damage=self.damage,
             )
 
--- a/shallotgate/consensus/tests/membership_model.py
+++ b/shallotgate/consensus/tests/membership_model.py
@@ -15,11 +15,7 @@
 
 from shallotgate.consensus import ConsensusOptions
 from shallotgate.consensus._group import Group
-from shallotgate.consensus._membership_policy import (
-    GroupView,
-    choose_removal,
-    may_promote,
-)
+from shallotgate.consensus._membership_policy import GroupView, plan_change
 from shallotgate.generated.messages import MemberIdentity
 
 OPTIONS = ConsensusOptions(automatic_membership=True)
@@ -207,7 +203,7 @@
     behind = tuple(
         disk
         for disk in state.up
-        if disk.length < len(state.log) and group.includes(disk.identity)
+        if disk.length < len(state.log) and group.find(disk.name) is not None
     )
     if behind:
         yield 'catch up', spread(state, behind)
@@ -283,68 +279,40 @@
     state: State, leader: Disk, group: Group
 ) -> tuple[str, Group] | None:
     """Return the change that the leader proposes, as the product does."""
-    running = {disk.name: disk for disk in state.up}
-    if is_kept_out(state, leader, group):
+    change = plan_change(make_view(state, leader, group), OPTIONS).change
+    if change is None:
         return None
-    for member in group.members:
-        disk = running.get(member.instance)
-        if disk is not None and disk.identity != member.identity:
-            return f'replace {disk.name}', group.with_member(
-                disk.name, disk.identity, voter=False
-            )
-    newcomer = next(
-        (name for name in running if group.find(name) is None), None
-    )
-    # An instance that has just failed still counts as live.
-    live = frozenset(
-        disk.identity for disk in state.disks if not disk.is_noticed
-    )
-    ages_s = {
-        member.identity: 0.0 if member.identity in live else LONG_S
-        for member in group.members
-    }
-    view = GroupView(group, leader.name, ages_s, newcomer is not None, live)
-    removed = choose_removal(view, OPTIONS)
-    if removed is not None:
-        return f'remove {removed.instance}', group.without(removed.instance)
-    for member in group.members:
-        if (
-            not member.voter
-            and member.instance in running
-            and running[member.instance].length == len(state.log)
-            and may_promote(view, member)
-        ):
-            return f'promote {member.instance}', group.with_member(
-                member.instance, member.identity, voter=True
-            )
-    if newcomer is not None:
-        return f'add {newcomer}', group.with_learner(
-            newcomer, running[newcomer].identity
-        )
-    return None
+    return f'{change.action} {change.instance}', change.group
 
 
-def is_kept_out(state: State, leader: Disk, group: Group) -> bool:
-    """Return whether a promotion waits with the lock of changes held.
+def make_view(state: State, leader: Disk, group: Group) -> GroupView:
+    """Return what the leader knows.
 
-    The first member without a vote is waited for, and the lock is taken again
-    at once after each attempt.
+    An instance that has just failed still counts as live, and its replies as
+    new.
     """
-    live = frozenset(
-        disk.identity for disk in state.disks if not disk.is_noticed
-    )
-    view = GroupView(group, leader.name, {}, False, live)
-    waiting = next(
-        (
-            member
+    known = [disk for disk in state.disks if not disk.is_noticed]
+    live = frozenset(disk.identity for disk in known)
+    return GroupView(
+        group=group,
+        leader=leader.name,
+        ack_ages_s={
+            member.identity: 0 if member.identity in live else LONG_S
             for member in group.members
-            if not member.voter and may_promote(view, member)
+        },
+        identities={disk.name: disk.identity for disk in known},
+        live=live,
+        responsive=live,
+        caught_up=frozenset(
+            disk.identity for disk in known if disk.length == len(state.log)
         ),
-        None,
+        newcomers={
+            disk.name: disk.identity
+            for disk in state.up
+            if group.find(disk.name) is None
+        },
+        requested={},
     )
-    return waiting is not None and waiting.identity not in {
-        disk.identity for disk in state.up
-    }
 
 
 def find_endless_wait(state: State) -> str | None:
@@ -379,7 +347,10 @@
 def spread_to_all(state: State) -> State:
     """Let all members that run take the whole log."""
     group = state.log[-1]
-    members = tuple(disk for disk in state.up if group.includes(disk.identity))
+    # Records go to all members, whatever identity they reply with.
+    members = tuple(
+        disk for disk in state.up if group.find(disk.name) is not None
+    )
     return spread(state, members)
 
 
--- a/shallotgate/consensus/tests/test_membership.py
+++ b/shallotgate/consensus/tests/test_membership.py
@@ -7,7 +7,7 @@
 
 from shallotgate.consensus import ConsensusOptions
 from shallotgate.consensus.tests.cluster import wait_for
-from shallotgate.errors import ConsensusError, NotLeaderError
+from shallotgate.errors import NotLeaderError
 
 OPTIONS = ConsensusOptions(
     automatic_membership=True, snapshot_interval_records=20
@@ -92,15 +92,16 @@
 def test_change_waits_until_the_former_one_is_committed(cluster):
     """Guards against two open changes, whose majorities need not overlap."""
     leader = cluster.wait_leader()
-    changes = leader.log._changes
-    leadership = leader.log._state.leadership
+    state = leader.log._state
+    cluster.propose(b'settled')
     # Neither follower answers, so nothing is committed.
     for name in set('abc') - {leader.name}:
         cluster.isolate(name)
-    group = leader.log._state.journal.group
-    for error in ('not committed within', 'former membership change'):
-        with pytest.raises(ConsensusError, match=error):
-            changes._commit_group(leadership, group, time.monotonic() + 0.05)
+    cluster.start(*'de', bootstrap=False)
+    wait_for(lambda: len(state.journal.group.members) == 4)
+    index = state.journal.groups.latest_index
+    wait_for(lambda: state.leadership is None)
+    assert state.journal.groups.latest_index == index
 
 
 def test_member_with_a_lost_disk_is_replaced_without_an_operator(cluster):
--- a/shallotgate/consensus/tests/test_membership_policy.py
+++ b/shallotgate/consensus/tests/test_membership_policy.py
@@ -9,13 +9,13 @@
 from shallotgate.consensus._leadership import Leadership
 from shallotgate.consensus._membership_policy import (
     GroupView,
-    choose_removal,
     may_promote,
+    plan_change,
 )
 from shallotgate.consensus.tests.membership_model import explore
 from shallotgate.generated.messages import MemberIdentity
 
-OPTIONS = ConsensusOptions()
+OPTIONS = ConsensusOptions(automatic_membership=True)
 
 
 def make_group(voters, learners=''):
@@ -29,19 +29,26 @@
 def make_view(group, silent, *, has_newcomer=True):
     """Return the view of leader a; members of ``silent`` do not respond."""
     names = {member.identity for member in group.members}
+    live = frozenset(names - set(silent))
     return GroupView(
         group=group,
         leader='a',
         ack_ages_s={name: 9.0 if name in silent else 0.0 for name in names},
-        has_newcomer=has_newcomer,
-        live=frozenset(names - set(silent)),
+        identities={
+            member.instance: member.identity for member in group.members
+        },
+        live=live,
+        responsive=live,
+        caught_up=frozenset(),
+        newcomers={'new': 'new'} if has_newcomer else {},
+        requested={},
     )
 
 
 def find_removed(group, silent, *, has_newcomer=True):
     view = make_view(group, silent, has_newcomer=has_newcomer)
-    removed = choose_removal(view, OPTIONS)
-    return removed and removed.instance
+    change = plan_change(view, OPTIONS).change
+    return change.instance if change and change.action == 'remove' else None
 
 
 @pytest.mark.parametrize('size', [3, 5, 7])
--- a/shallotgate/consensus/tests/test_replacement.py
+++ b/shallotgate/consensus/tests/test_replacement.py
@@ -2,14 +2,11 @@
 
 import pytest
 
+from shallotgate.consensus import _membership_policy
 from shallotgate.consensus.tests.cluster import ask_vote, wait_for
 from shallotgate.errors import ConsensusError
 
 
-class LeaderLostError(ConsensusError):
-    """Raised by the test in place of the second record."""
-
-
 @pytest.fixture
 def cluster(make_cluster):
     # Five members keep a majority without the leader and the wiped member.
@@ -29,18 +26,19 @@
     return wiped, leader
 
 
-def interrupt_after_first_record(leader, callback):
-    """Interrupt a replacement between its two records and call a function."""
-    changes = leader.log._changes
-    commit = changes._commit_member
+@pytest.fixture
+def no_votes(monkeypatch):
+    """Let leaders commit the first record of a replacement only."""
+    with monkeypatch.context() as patch:
+        patch.setattr(_membership_policy, 'may_promote', lambda *_: False)
+        yield patch
 
-    def commit_first(leadership, instance, identity, voter, deadline):
-        if voter:
-            raise LeaderLostError('interrupted by the test')
-        commit(leadership, instance, identity, voter, deadline)
-        callback()
 
-    changes._commit_member = commit_first
+def replace_without_vote(leader, wiped):
+    """Replace a member up to the record that gives it its vote."""
+    with pytest.raises(ConsensusError, match='is not replaced in time'):
+        leader.log.replace_member(wiped, 2)
+    assert not read_member(leader, wiped).voter
 
 
 def read_member(node, name):
@@ -54,17 +52,16 @@
     return member.voter and member.identity == identity
 
 
-def test_new_leader_resumes_a_replacement(cluster):
+def test_new_leader_resumes_a_replacement(cluster, no_votes):
     """Guards against a replaced member that never gets its vote back.
 
     The leader fails after the record that removes the vote and before the one
     that restores it.
     """
     wiped, leader = wipe_follower(cluster)
-    interrupt_after_first_record(leader, lambda: cluster.isolate(leader.name))
-    with pytest.raises(LeaderLostError):
-        leader.log.replace_member(wiped, 10)
-    assert not read_member(leader, wiped).voter
+    replace_without_vote(leader, wiped)
+    cluster.isolate(leader.name)
+    no_votes.undo()
     cluster.stop(leader.name)
     second = cluster.wait_leader()
     wait_for(lambda: is_admitted(cluster, second, wiped))
@@ -76,30 +73,25 @@
     assert cluster.propose(b'after') == 2
 
 
-def test_leader_resumes_its_own_replacement(cluster):
+def test_leader_resumes_its_own_replacement(cluster, no_votes):
     """Guards against a member without a vote after a call timed out.
 
     The leader stays in office, so it has to finish the replacement itself.
     """
     wiped, leader = wipe_follower(cluster)
-    changes = leader.log._changes
-    commit = changes._commit_member
-    interrupt_after_first_record(leader, lambda: None)
-    with pytest.raises(LeaderLostError):
-        leader.log.replace_member(wiped, 10)
-    changes._commit_member = commit
+    replace_without_vote(leader, wiped)
+    no_votes.undo()
     wait_for(lambda: is_admitted(cluster, cluster.wait_leader(), wiped))
 
 
-def test_disk_lost_again_is_not_admitted_by_itself(cluster):
+def test_disk_lost_again_is_not_admitted_by_itself(cluster, no_votes):
     """Guards against a vote for an identity that no operator has approved.
 
     The disk of the member is lost a second time during its replacement.
     """
     wiped, leader = wipe_follower(cluster)
-    interrupt_after_first_record(leader, lambda: cluster.stop(wiped))
-    with pytest.raises(LeaderLostError):
-        leader.log.replace_member(wiped, 10)
+    replace_without_vote(leader, wiped)
+    cluster.stop(wiped)
     cluster.wipe(wiped)
     cluster.start(wiped)
     first = read_member(leader, wiped).identity
@@ -110,29 +102,23 @@
         lambda: leader.log._state.leadership.identities.get(wiped) == second
     )
     wait_for(lambda: cluster.nodes[wiped].machine.items == [b'before'])
-    changes = leader.log._changes
-    del changes._commit_member
-    leadership = leader.log._state.leadership
-    deadline = time.monotonic() + 5
-    changes._try_finish_replacement(
-        leadership, changes._find_unfinished_replacement(), deadline
-    )
+    no_votes.undo()
+    # Longer than a leader takes between two looks at its members.
+    time.sleep(1)
     member = read_member(leader, wiped)
     assert (member.identity, member.voter) == (first, False)
     leader.log.replace_member(wiped, 10)
     assert is_admitted(cluster, leader, wiped)
 
 
-def test_member_votes_before_it_knows_that_it_has_a_vote(cluster):
+def test_member_votes_before_it_knows_that_it_has_a_vote(cluster, no_votes):
     """Guards against a group without a leader after a lost disk.
 
     The record that restores the vote of a replaced member is committed without
     it. If the leader is lost then, its vote may be needed for a majority.
     """
     wiped, leader = wipe_follower(cluster)
-    interrupt_after_first_record(leader, lambda: None)
-    with pytest.raises(LeaderLostError):
-        leader.log.replace_member(wiped, 10)
+    replace_without_vote(leader, wiped)
     node = cluster.nodes[wiped]
     wait_for(lambda: read_member(node, wiped) is not None)
     assert node.log.status().role == 'learner'
--- a/shallotgate/node/_control.py
+++ b/shallotgate/node/_control.py
@@ -195,6 +195,13 @@
         self._metrics.register_gauge(
             'disk_suspended', lambda: int(self._log.is_suspended())
         )
+        self._metrics.register_gauge(
+            'membership_changes_waiting',
+            lambda: len(self._log.status().waits),
+        )
+        self._metrics.register_gauge(
+            'membership_longest_wait_seconds', self._read_longest_wait_s
+        )
 
     async def start(self) -> None:
         """Load the durable state and join the group."""
@@ -223,6 +230,10 @@
     def _count_entries(self) -> int:
         return len(self._followers.list_entries())
 
+    def _read_longest_wait_s(self) -> float:
+        waits = self._log.status().waits
+        return max((wait.waiting_s for wait in waits), default=0)
+
     def _list_members(self) -> list[str]:
         return [member.instance for member in self._log.status().members]
 
