Let no successor raise the tolerance beside a member that was just lost

What callers would see: a group of four or six that lost one member for good keeps it as a voter, and bears one further loss less from then on.

Cause: a vote that raises the number of losses to be tolerated is granted while all voters respond, and a voter responds for 1.5 s after its last reply. A successor that joins within that time gets its vote beside the lost member; the group has to tolerate one loss more then, and the lost voter may not go.

Change: each voter has to have replied to a message that was sent after the member was admitted. One that was lost before that has not; it is removed first and the successor gets its vote without raising the number.

--- a/shallotgate/consensus/_membership_policy.py
+++ b/shallotgate/consensus/_membership_policy.py
@@ -30,6 +30,8 @@
     # Seconds since a member last acknowledged a message, by identity. The begin
     # of the leadership and the admission of a member count as one.
     ack_ages_s: Mapping[str, float]
+    # Seconds since the admission of a member, or since the leadership began.
+    admission_ages_s: Mapping[str, float]
     # Latest identity of each instance that has sent something.
     identities: Mapping[str, str]
     # Identities that have replied to this leader lately.
@@ -82,6 +84,10 @@
             member.identity: leadership.read_member_ack_age_s(member.identity)
             for member in group.members
         },
+        admission_ages_s={
+            member.identity: leadership.read_admission_age_s(member.identity)
+            for member in group.members
+        },
         identities=dict(leadership.identities),
         live=leadership.list_live_identities(options.replace_unresponsive_s),
         responsive=responsive,
@@ -119,12 +125,20 @@
     """Return whether a member that has caught up may get its vote.
 
     A vote that raises the number of losses to be tolerated is granted only
-    while all voters respond. If a lost voter counted, the group could not
-    remove it any more.
+    while all voters respond, and have replied since the member was admitted: it
+    may be the successor of one that was lost just before. If a lost voter
+    counted, the group could not remove it any more.
     """
     group = view.group
     promoted = group.with_member(member.instance, member.identity, voter=True)
-    return promoted.tolerance == group.tolerance or group.voters <= view.live
+    if promoted.tolerance == group.tolerance:
+        return True
+    admission_age_s = view.admission_ages_s[member.identity]
+    return group.voters <= view.live and all(
+        view.ack_ages_s[voter.identity] < admission_age_s
+        for voter in group.members
+        if voter.voter and voter.instance != view.leader
+    )
 
 
 def _iter_changes(
--- a/shallotgate/consensus/tests/membership_model.py
+++ b/shallotgate/consensus/tests/membership_model.py
@@ -300,6 +300,9 @@
             member.identity: 0 if member.identity in live else LONG_S
             for member in group.members
         },
+        admission_ages_s=dict.fromkeys(
+            (member.identity for member in group.members), LONG_S
+        ),
         identities={disk.name: disk.identity for disk in known},
         live=live,
         responsive=live,
--- a/shallotgate/consensus/tests/test_membership_policy.py
+++ b/shallotgate/consensus/tests/test_membership_policy.py
@@ -34,6 +34,7 @@
         group=group,
         leader='a',
         ack_ages_s={name: 9.0 if name in silent else 0.0 for name in names},
+        admission_ages_s=dict.fromkeys(names, 1.0),
         identities={
             member.instance: member.identity for member in group.members
         },
--- a/shallotgate/consensus/tests/test_membership_turns.py
+++ b/shallotgate/consensus/tests/test_membership_turns.py
@@ -71,6 +71,42 @@
     assert leader.find_time(lambda: leader.voters == 'abce') < 1
 
 
+@pytest.mark.parametrize('size', [4, 6])
+def test_successor_that_comes_at_once_does_not_raise_the_tolerance(
+    make_leader, size
+):
+    """Guards against a lost voter that counts for good.
+
+    Its successor joins before the loss is noticed. With both votes the group
+    has to tolerate one loss more, so that the lost voter may not go.
+    """
+    leader = make_leader('abcdef'[:size])
+    tolerance = leader.group.tolerance
+    lost = 'abcdef'[size - 1]
+    rest = leader.voters.replace(lost, '')
+    del leader.replying[lost]
+    leader.run(0.3)
+    leader.joining['x'] = leader.replying['x'] = 'x'
+    leader.find_time(lambda: leader.voters == f'{rest}x', SYNC_S)
+    assert leader.group.tolerance == tolerance
+
+
+def test_wiped_member_that_is_silent_again_keeps_out_no_removal(make_leader):
+    """Guards against a second loss during the replacement of a disk.
+
+    The wiped member replies, has not caught up and is silent then. Another
+    member is lost for good, and its successor asks to join.
+    """
+    leader = make_leader('abcdef')
+    leader.replying['f'] = 'empty'
+    leader.lagging.add('f')
+    leader.run(0.5)
+    assert ('replace', 'f') in leader.waits
+    del leader.replying['f'], leader.replying['e']
+    leader.joining['x'] = leader.replying['x'] = 'x'
+    leader.find_time(lambda: leader.voters == 'abcdx', SYNC_S)
+
+
 def test_wiped_member_lost_before_its_vote_is_removed(make_leader):
     """Guards against a member without a vote that stays after its loss.
 
