review: case 15, an odd list entry keeps requests going to a draining server

Cause: a page of the list that is no JSON is split at its quotes. A quote that is not escaped in one entry makes the whole page malformed, and the last list that could be read stays in use for as long as that lasts.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -100,6 +100,10 @@
 
     def connection_made(self, transport):
         self._transport = transport
+        self._world.connections.setdefault(self._name, set()).add(transport)
+
+    def connection_lost(self, exc):
+        self._world.connections[self._name].discard(self._transport)
 
     def data_received(self, data):
         link = self._world.link
@@ -137,13 +141,15 @@
     def _run(self, first, headers, body):
         request_id = headers.get(b'request-id', b'')
         if first.startswith(b'GET /health'):
-            self._write(b'200 OK', request_id, b'')
+            is_leaving = self._name in self._world.leaving
+            status = b'503 Service Unavailable' if is_leaving else b'200 OK'
+            self._write(status, request_id, b'')
             return
         if headers.get(b'target-instance') != self._name.encode():
             self._write(b'421 Misdirected Request', request_id, b'')
             return
         self._is_running = True
-        self._world.note_run(request_id.decode(), first, body)
+        self._world.note_run(self._name, request_id.decode(), first, body)
         asyncio.get_running_loop().call_later(
             self._service_time_s(),
             self._write,
@@ -164,19 +170,28 @@
             )
         else:
             signature = b'Not-Executed: 1\r\n'
+        is_leaving = self._name in self._world.leaving
+        if is_leaving:
+            signature += b'Connection: close\r\n'
         self._transport.write(
             b'HTTP/1.1 %s\r\nRequest-Id: %s\r\n%sBackend-Load: 1,0,6\r\n'
             b'Content-Length: %d\r\n\r\n%s'
             % (status, request_id, signature, len(body), body)
         )
+        if is_leaving:
+            self._transport.close()
+            return
         self._parse()
 
 
 class Run:
     """A request that a server began to work on."""
 
-    def __init__(self, request_id, first, body):
+    def __init__(self, name, request_id, first, body):
+        # Id of the server.
+        self.name = name
         self.request_id = request_id
+        self.began_at = time.monotonic()
         # Request line.
         self.first = first
         self.body = body
@@ -194,6 +209,15 @@
         self.link = link
         self.runs = []
         self.entries = []
+        # Listeners, and open connections of servers, by id.
+        self._servers = {}
+        self.connections = {}
+        # Ids of servers that are leaving.
+        self.leaving = set()
+        # Bytes that another writer left among the entries of the list.
+        self.odd_entry = b''
+        # Requests for the list that were answered.
+        self.reads = 0
         self._loop = asyncio.new_event_loop()
         self._started = threading.Event()
         self._arguments = (services, service_time_s, make_body)
@@ -202,9 +226,28 @@
         if not self._started.wait(10):
             raise CannotRunError('the stand-ins did not start')
 
-    def note_run(self, request_id, first, body):
-        self.runs.append(Run(request_id, first.decode(), body))
-        self.record.add('run', id=request_id, body_bytes=len(body))
+    def note_run(self, name, request_id, first, body):
+        self.runs.append(Run(name, request_id, first.decode(), body))
+        self.record.add('run', id=request_id, server=name, body_bytes=len(body))
+
+    def end_server(self, name):
+        """Let a server end: it accepts nothing, and its connections break."""
+        self.entries = [each for each in self.entries if each['Id'] != name]
+        self.record.add('ended', server=name)
+        self._loop.call_soon_threadsafe(self._end_server, name)
+
+    def _end_server(self, name):
+        self._servers[name].close()
+        for transport in tuple(self.connections.get(name, ())):
+            transport.abort()
+
+    def begin_leaving(self, name):
+        """Let a server drain: it is listed so and goes on to serve."""
+        self.leaving.add(name)
+        for entry in self.entries:
+            if entry['Id'] == name:
+                entry['State'] = 'draining'
+        self.record.add('draining', server=name)
 
     def _serve(self):
         asyncio.set_event_loop(self._loop)
@@ -236,6 +279,7 @@
         server = await self._loop.create_server(
             lambda: Backend(self, name, service_time_s, make), sock=listener
         )
+        self._servers[name] = server
         port = server.sockets[0].getsockname()[1]
         self.entries.append(
             {
@@ -253,8 +297,13 @@
     async def _list(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while await reader.readuntil(b'\r\n\r\n'):
-                page = {'Instances': self.entries, 'NextToken': None}
-                body = json.dumps(page).encode()
+                entries = [json.dumps(each).encode() for each in self.entries]
+                if self.odd_entry:
+                    entries.insert(1, self.odd_entry)
+                body = b'{"Instances":[%s],"NextToken":null}' % (
+                    b','.join(entries)
+                )
+                self.reads += 1
                 writer.write(
                     b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
                     b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
