--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -19,6 +19,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # Commands of deploy/system.toml.
@@ -536,6 +537,11 @@
     except CannotRunError as error:
         record.add('cannot-run', reason=str(error).replace(' ', '_'))
         os._exit(2)
+    except Exception:
+        # An error of the case itself, which says nothing of the rule.
+        traceback.print_exc()
+        record.add('failed')
+        os._exit(2)
     record.add('result', broken=is_broken)
     os._exit(1 if is_broken else 0)
 
