--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -86,6 +86,10 @@
         self._free_at = max(self._free_at, now) + amount / self._bytes_per_s
         return self._free_at - now
 
+    def clear(self):
+        """Drop what waits to be sent."""
+        self._free_at = 0
+
 
 class Backend(asyncio.Protocol):
     """One connection to a server; it answers one request at a time."""
